Lay out the build: modules, wire schemas, shared core types

Cause: nothing stands yet. Ruled out: one module (cores would not be free of I/O by construction) and running the generator in the build (a fresh machine would need it).

--- /dev/null
+++ b/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
@@ -0,0 +1,202 @@
+/** The table of numbered error codes. `docs/ERRORS.md` is checked against it by a test. */
+@file:Suppress("MaxLineLength", "ktlint:standard:max-line-length") // One row for each code.
+
+package burdockspread.error
+
+/**
+ * A numbered result code.
+ *
+ * Numbers never change and are never reused: 1xx bad requests, 2xx limits and load, 3xx generations,
+ * 4xx calls that may not be repeated, 5xx document and store, 6xx processes and settings.
+ */
+public enum class ErrorCode(
+    /** The stable number. */
+    public val number: Int,
+    /** HTTP status that callers see. */
+    public val httpStatus: Int,
+    /** What the code lets the caller conclude about effects. */
+    public val truth: Truth,
+    /** Whether sending the same request again later can succeed. */
+    public val retryable: Boolean,
+    /** One sentence for the table in the docs. */
+    public val meaning: String,
+) {
+    MALFORMED_REQUEST(
+        101,
+        400,
+        Truth.NOT_RUN,
+        false,
+        "The body is not the JSON that the path takes.",
+    ),
+    UNAUTHENTICATED(
+        102,
+        401,
+        Truth.NOT_RUN,
+        false,
+        "No API key, or one that no organisation owns.",
+    ),
+    UNKNOWN_MODEL(103, 404, Truth.NOT_RUN, false, "The document names no such model."),
+    UNKNOWN_SERVICE(104, 404, Truth.NOT_RUN, false, "The document names no such service or call."),
+    BODY_TOO_LARGE(105, 413, Truth.NOT_RUN, false, "The body exceeds the limit in the settings."),
+    REQUEST_TIMEOUT(
+        106,
+        408,
+        Truth.NOT_RUN,
+        true,
+        "The caller did not send its whole request in time.",
+    ),
+    KEY_REQUIRED(
+        107,
+        400,
+        Truth.NOT_RUN,
+        false,
+        "The call may not be repeated and needs an Idempotency-Key.",
+    ),
+    REQUEST_ID_REUSED(
+        108,
+        409,
+        Truth.NOT_RUN,
+        false,
+        "The request id names another request of the organisation.",
+    ),
+    UNKNOWN_PATH(109, 404, Truth.NOT_RUN, false, "No such path or method."),
+    TOO_MANY_TOKENS(110, 400, Truth.NOT_RUN, false, "max_tokens exceeds the limit of the model."),
+
+    RATE_LIMITED(
+        201,
+        429,
+        Truth.NOT_RUN,
+        true,
+        "The organisation has spent its share of requests or tokens.",
+    ),
+    TOO_MANY_CONCURRENT(
+        202,
+        429,
+        Truth.NOT_RUN,
+        true,
+        "The organisation has too many open requests.",
+    ),
+    DEADLINE_UNREACHABLE(
+        203,
+        503,
+        Truth.NOT_RUN,
+        true,
+        "The queue is too long for the request's deadline.",
+    ),
+    NO_TARGET(204, 503, Truth.NOT_RUN, true, "No live target serves the model or service."),
+    OVERLOADED(205, 503, Truth.NOT_RUN, true, "The host has reached its bound of open requests."),
+    DRAINING(206, 503, Truth.NOT_RUN, true, "The host is stopping and takes no new work."),
+    RETRY_BUDGET_SPENT(
+        207,
+        503,
+        Truth.NOT_RUN,
+        true,
+        "Every try failed before a token came and the budget is spent.",
+    ),
+
+    ATTEMPTS_EXHAUSTED(
+        301,
+        502,
+        Truth.INCOMPLETE,
+        true,
+        "The generation used all attempts of its policy.",
+    ),
+    GENERATION_LOST(
+        302,
+        410,
+        Truth.INCOMPLETE,
+        true,
+        "No host has the rest of the generation; start it anew.",
+    ),
+    GENERATION_SUPERSEDED(
+        303,
+        409,
+        Truth.INCOMPLETE,
+        true,
+        "Another entry host has taken the generation over.",
+    ),
+    SLOW_READER(304, 499, Truth.INCOMPLETE, true, "The caller read too slowly and was cut off."),
+    OFFSET_AHEAD(
+        305,
+        409,
+        Truth.INCOMPLETE,
+        false,
+        "The caller names an offset beyond what was generated.",
+    ),
+    ENGINE_REJECTED(
+        306,
+        502,
+        Truth.INCOMPLETE,
+        false,
+        "The engine refused the request as invalid.",
+    ),
+    CUT_OFF(307, 503, Truth.INCOMPLETE, true, "The host of the generation cannot be reached now."),
+
+    CLAIM_UNAVAILABLE(
+        401,
+        503,
+        Truth.NOT_RUN,
+        true,
+        "The claim could not be written; no call was or will be sent.",
+    ),
+    CALL_IN_PROGRESS(
+        402,
+        409,
+        Truth.OUTCOME_UNKNOWN,
+        true,
+        "A call with this key runs now; ask again for its answer.",
+    ),
+    OUTCOME_UNKNOWN(
+        403,
+        502,
+        Truth.OUTCOME_UNKNOWN,
+        false,
+        "A call may have been sent; it is never sent again.",
+    ),
+    KEY_REUSED(404, 422, Truth.NOT_RUN, false, "The key was used before with another body."),
+    CALL_NOT_RUN(
+        405,
+        503,
+        Truth.NOT_RUN,
+        false,
+        "The call with this key was refused and will never be sent.",
+    ),
+    CALL_FAILED(
+        406,
+        502,
+        Truth.INCOMPLETE,
+        true,
+        "An idempotent call failed on every target tried.",
+    ),
+    CLAIM_PENDING(
+        407,
+        503,
+        Truth.OUTCOME_UNKNOWN,
+        true,
+        "The claim's write has no answer yet; ask again with the same key.",
+    ),
+
+    SECTION_CONFLICT(501, 409, Truth.NOT_RUN, true, "The section changed since it was read."),
+    SECTION_INVALID(
+        502,
+        422,
+        Truth.NOT_RUN,
+        false,
+        "The document with this edit would not be valid.",
+    ),
+    NOT_OWNER(503, 403, Truth.NOT_RUN, false, "Another team owns the section."),
+    STORE_UNAVAILABLE(504, 503, Truth.NOT_RUN, true, "The platform's object API does not answer."),
+    WRITE_UNRESOLVED(
+        505,
+        503,
+        Truth.OUTCOME_UNKNOWN,
+        true,
+        "The answer to a write was lost and could not be read back yet.",
+    ),
+    NO_DOCUMENT(506, 503, Truth.NOT_RUN, true, "The host has no document yet."),
+    FENCED(507, 409, Truth.NOT_RUN, false, "The order or write carries an old fencing token."),
+
+    SETTINGS_INVALID(601, 500, Truth.NOT_RUN, false, "The settings file is missing or not valid."),
+    ADDRESS_IN_USE(602, 500, Truth.NOT_RUN, false, "A port of the settings cannot be opened."),
+    INTERNAL(603, 500, Truth.INCOMPLETE, true, "A fault in the system itself."),
+}
--- /dev/null
+++ b/burdock-core/src/main/kotlin/burdockspread/store/WriteCondition.kt
@@ -0,0 +1,11 @@
+/** Conditions of writes to the platform's object API. */
+package burdockspread.store
+
+/** What must hold for a write to take effect. */
+public sealed interface WriteCondition {
+    /** No object has the key yet. */
+    public data object Absent : WriteCondition
+
+    /** The object's last write got this version. */
+    public data class AtVersion(public val version: Long) : WriteCondition
+}
--- /dev/null
+++ b/burdock-core/src/main/kotlin/burdockspread/store/WriteResult.kt
@@ -0,0 +1,17 @@
+/** Results of conditional writes to the platform's object API. */
+package burdockspread.store
+
+/** Result of one conditional write. */
+public sealed interface WriteResult {
+    /** The write is in, under [version]. */
+    public data class Written(public val version: Long) : WriteResult
+
+    /** The condition did not hold; the write is not in and never will be. */
+    public data object Conflict : WriteResult
+
+    /** The store refused before it changed anything, for example by its rate limit. */
+    public data class Refused(public val reason: String) : WriteResult
+
+    /** The answer was lost: the write may be in, or may still get in. */
+    public data class Unknown(public val reason: String) : WriteResult
+}
