Read JSON against its protobuf schema and report every problem with its path

Cause: the protobuf library reports the first unknown key without its path. Ruled out: a JSON schema library beside the .proto files (two schemas for one text).

--- /dev/null
+++ b/burdock-json/src/test/kotlin/burdockspread/json/SchemaJsonTest.kt
@@ -0,0 +1,32 @@
+package burdockspread.json
+
+import burdockspread.wire.settings.EntrySettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+class SchemaJsonTest {
+    private fun problems(text: String): List<String> {
+        val result = SchemaJson.read(text, EntrySettings.getDefaultInstance())
+        return assertNotNull(result.leftOrNull()).map { it.path }
+    }
+
+    @Test
+    fun `reads durations with their unit`() {
+        val text = """{"store": {"address": "127.0.0.1:1", "callTimeout": "0.5s"}}"""
+        val settings = SchemaJson.read(text, EntrySettings.getDefaultInstance()).getOrNull()
+        assertEquals(500_000_000, settings?.store?.callTimeout?.nanos)
+    }
+
+    @Test
+    fun `reports every problem with its path`() {
+        val text = """{"store": {"adress": "x", "callTimeout": "5 ms"}, "journal": {"copies": "a"}}"""
+        assertEquals(listOf("store.adress", "store.callTimeout", "journal.copies"), problems(text))
+    }
+
+    @Test
+    fun `refuses what is not an object and what is not JSON`() {
+        assertEquals(listOf("host"), problems("""{"host": 3}"""))
+        assertEquals(listOf(""), problems("""{"host": """))
+    }
+}
