--- /dev/null
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimEntry.kt
@@ -0,0 +1,55 @@
+/** What is known about one key. */
+package burdockspread.claim
+
+import burdockspread.wire.claims.ClaimRecord
+import com.google.protobuf.ByteString
+import kotlin.time.Instant
+
+/** The claim on one key, with its outcome once that is known. */
+internal class ClaimEntry(
+    val sequence: Long,
+    val claimId: ClaimId,
+    val bodyHash: BodyHash,
+    val claimedAt: Instant,
+    var outcome: ClaimRecord? = null,
+) {
+    fun isOpen(id: ClaimId): Boolean = outcome == null && claimId == id
+}
+
+/** The decision that an outcome record stands for. */
+internal fun ClaimRecord.toDecision(): ClaimDecision = if (state == ClaimRecord.State.NOT_RUN) {
+    ClaimDecision.NotRun
+} else {
+    ClaimDecision.AlreadyDone(status, answer.takeUnless { answerOmitted })
+}
+
+internal fun claimedRecord(ask: ClaimAsk): ClaimRecord = ClaimRecord.newBuilder()
+    .setKeyHash(ByteString.copyFrom(ask.key.toBytes()))
+    .setBodySha256(ByteString.copyFrom(ask.bodyHash.toBytes()))
+    .setClaimId(ask.id.value)
+    .setState(ClaimRecord.State.CLAIMED)
+    .build()
+
+internal fun notRunRecord(key: KeyHash, id: ClaimId): ClaimRecord = ClaimRecord.newBuilder()
+    .setKeyHash(ByteString.copyFrom(key.toBytes()))
+    .setClaimId(id.value)
+    .setState(ClaimRecord.State.NOT_RUN)
+    .build()
+
+internal fun doneRecord(
+    key: KeyHash,
+    id: ClaimId,
+    done: CallOutcome.Done,
+    maxAnswerBytes: Int,
+): ClaimRecord {
+    val record = ClaimRecord.newBuilder()
+        .setKeyHash(ByteString.copyFrom(key.toBytes()))
+        .setClaimId(id.value)
+        .setState(ClaimRecord.State.DONE)
+        .setStatus(done.status)
+    return if (done.answer.size() > maxAnswerBytes) {
+        record.setAnswerOmitted(true).build()
+    } else {
+        record.setAnswer(done.answer).build()
+    }
+}
--- a/burdock-core/src/main/kotlin/burdockspread/store/ResolvedWrite.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ResolvedWrite.kt
@@ -12,6 +12,12 @@
     /** The store refused before it changed anything. */
     public data class Refused(public val reason: String) : ResolvedWrite
 
-    /** The write may be in or may still get in, and reading back gave no proof in time. */
-    public data class Unresolved(public val reason: String) : ResolvedWrite
+    /**
+     * The write may be in, may have been in and be overwritten, or may still get in; reading back
+     * gave no proof in time. [current] is the object that was read last, if any.
+     */
+    public data class Unresolved(
+        public val reason: String,
+        public val current: StoredObject? = null,
+    ) : ResolvedWrite
 }
--- a/burdock-core/src/main/kotlin/burdockspread/store/ResolvingStore.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ResolvingStore.kt
@@ -8,9 +8,13 @@
 /**
  * Writes to an [ObjectStore] and resolves lost answers by reading back.
  *
- * A lost write is proved in when the object carries its write id. Otherwise the same write is sent
- * again under the same write id: it either takes effect once or fails on the condition, and the
- * object then tells which.
+ * A write without an answer is sent again under the same write id: it takes effect once or fails
+ * on its condition, and after a conflict the object tells which. Reads may lag, so an object that
+ * the conflict has proved to be replaced is read again. A caller that is cancelled in here knows
+ * no more than after [ResolvedWrite.Unresolved].
+ *
+ * Names created under [WriteCondition.Absent] must not be deleted and used again within the time
+ * that a call may be under way: an old create that arrives late would take effect.
  */
 public class ResolvingStore(
     private val store: ObjectStore,
@@ -23,50 +27,74 @@
         value: String,
         condition: WriteCondition,
         writeId: String,
-    ): ResolvedWrite {
+    ): ResolvedWrite = resolve(PendingWrite(key, value, condition, writeId, writeOnce = false))
+
+    /**
+     * Creates an object that is never replaced. Another write id under its name therefore proves
+     * that this write is out, also after a lost answer.
+     */
+    public suspend fun create(key: ObjectKey, value: String, writeId: String): ResolvedWrite =
+        resolve(PendingWrite(key, value, WriteCondition.Absent, writeId, writeOnce = true))
+
+    private class PendingWrite(
+        val key: ObjectKey,
+        val value: String,
+        val condition: WriteCondition,
+        val writeId: String,
+        val writeOnce: Boolean,
+    ) {
         var doubtful = false
         var reason = "no answer"
+
+        /** A conflict proves that the object has been replaced since: other reads are stale. */
+        fun isStale(read: ReadResult): Boolean = when (read) {
+            is ReadResult.Found ->
+                condition is WriteCondition.AtVersion && read.value.version <= condition.version
+            is ReadResult.Missing -> condition is WriteCondition.Absent
+            is ReadResult.Unavailable -> true
+        }
+    }
+
+    private suspend fun resolve(write: PendingWrite): ResolvedWrite {
         var wait = pause
-        repeat(rounds) {
-            when (val result = store.put(key, value, condition, writeId)) {
-                is WriteResult.Written -> return ResolvedWrite.Written(result.version)
-                is WriteResult.Conflict -> readBack(key, writeId, doubtful)?.let { return it }
-                is WriteResult.Refused ->
-                    if (!doubtful) return ResolvedWrite.Refused(result.reason)
-                is WriteResult.Unknown -> {
-                    doubtful = true
-                    reason = result.reason
-                }
-            }
-            delay(wait)
+        for (round in 1..rounds) {
+            attempt(write)?.let { return it }
+            if (round < rounds) delay(wait)
             wait *= 2
         }
-        return ResolvedWrite.Unresolved(reason)
+        return ResolvedWrite.Unresolved(write.reason)
     }
 
-    /** Reads the object after a conflict: an own earlier send may have caused it. */
-    private suspend fun readBack(
-        key: ObjectKey,
-        writeId: String,
-        doubtful: Boolean,
-    ): ResolvedWrite? = when (val read = store.get(key)) {
-        is ReadResult.Found ->
-            if (read.value.writeId == writeId) {
-                ResolvedWrite.Written(read.value.version)
-            } else {
-                lost(read.value, doubtful)
+    /** Sends the write once. Null when its answer is lost and nothing has proved where it went. */
+    private suspend fun attempt(write: PendingWrite): ResolvedWrite? {
+        when (val result = store.put(write.key, write.value, write.condition, write.writeId)) {
+            is WriteResult.Written -> return ResolvedWrite.Written(result.version)
+            is WriteResult.Conflict -> return readBack(write)
+            is WriteResult.Refused -> {
+                if (!write.doubtful) return ResolvedWrite.Refused(result.reason)
+                write.reason = result.reason
             }
-        is ReadResult.Missing -> lost(null, doubtful)
-        is ReadResult.Unavailable -> if (doubtful) null else ResolvedWrite.Lost(null)
+            is WriteResult.Unknown -> {
+                write.doubtful = true
+                write.reason = result.reason
+            }
+        }
+        return null
     }
 
-    /**
-     * A conflict without an earlier lost answer proves that the write is out. After a lost answer
-     * the write may have been in and been overwritten since, which the object no longer shows.
-     */
-    private fun lost(current: StoredObject?, doubtful: Boolean): ResolvedWrite = if (doubtful) {
-        ResolvedWrite.Unresolved("the object changed after a write without an answer")
-    } else {
-        ResolvedWrite.Lost(current)
+    /** Reads the object after a conflict: an own earlier send may have caused it. */
+    private suspend fun readBack(write: PendingWrite): ResolvedWrite? {
+        val read = store.get(write.key)
+        if (write.isStale(read)) {
+            write.reason = "the object cannot be read back"
+            return if (write.doubtful) null else ResolvedWrite.Lost(null)
+        }
+        val current = (read as? ReadResult.Found)?.value
+        return when {
+            current?.writeId == write.writeId -> ResolvedWrite.Written(current.version)
+            !write.doubtful -> ResolvedWrite.Lost(current)
+            write.writeOnce && current != null -> ResolvedWrite.Lost(current)
+            else -> ResolvedWrite.Unresolved("replaced after a write without answer", current)
+        }
     }
 }
