--- /dev/null
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/ApiObject.kt
@@ -0,0 +1,40 @@
+/** Objects of the platform's object API as they stand in its JSON. */
+package burdockspread.store.http
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+
+/** Group and version under which the system's own kinds are registered. */
+internal const val API_VERSION: String = "burdockspread.io/v1"
+
+/** Annotation that carries the id of the write that made an object's present version. */
+internal const val WRITE_ID_ANNOTATION: String = "burdockspread.io/write-id"
+
+@Serializable
+internal data class ApiObject(
+    val apiVersion: String = API_VERSION,
+    val kind: String,
+    val metadata: ApiMetadata,
+    val spec: JsonElement = JsonObject(emptyMap()),
+)
+
+@Serializable
+internal data class ApiMetadata(
+    val name: String = "",
+    val resourceVersion: String? = null,
+    val annotations: Map<String, String> = emptyMap(),
+)
+
+@Serializable
+internal data class ApiList(val metadata: ApiMetadata, val items: List<ApiObject>)
+
+@Serializable
+internal data class ApiWatchEvent(val type: String, @SerialName("object") val value: ApiObject)
+
+@Serializable
+internal data class ApiDeleteOptions(val preconditions: ApiPreconditions)
+
+@Serializable
+internal data class ApiPreconditions(val resourceVersion: String)
--- /dev/null
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -0,0 +1,230 @@
+/** Client of the platform's versioned object API over HTTP. */
+package burdockspread.store.http
+
+import burdockspread.store.ListResult
+import burdockspread.store.ObjectKey
+import burdockspread.store.ObjectStore
+import burdockspread.store.ReadResult
+import burdockspread.store.StoredObject
+import burdockspread.store.WatchEvent
+import burdockspread.store.WriteCondition
+import burdockspread.store.WriteResult
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.HttpTimeoutConfig
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.delete
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.prepareGet
+import io.ktor.client.request.put
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.flow
+import kotlinx.serialization.json.Json
+import java.io.Closeable
+import java.net.ConnectException
+import kotlin.time.Duration
+
+/**
+ * Speaks the resource protocol of the platform's object API: JSON objects with a resource version,
+ * optimistic concurrency by that version, and watches as a stream of JSON lines.
+ *
+ * @param address IP:port of the API.
+ * @param namespace namespace that holds the system's objects.
+ * @param callTimeout time after which a call has no answer; watches have no such limit.
+ */
+public class HttpObjectStore(
+    address: String,
+    namespace: String,
+    private val callTimeout: Duration,
+) : ObjectStore,
+    Closeable {
+    private val root = "http://$address/apis/$API_VERSION/namespaces/$namespace"
+    private val client =
+        HttpClient(CIO) {
+            install(HttpTimeout) { connectTimeoutMillis = callTimeout.inWholeMilliseconds }
+            expectSuccess = false
+        }
+
+    override suspend fun get(key: ObjectKey): ReadResult =
+        readCall({ ReadResult.Unavailable(it) }) {
+            val response = client.get(path(key)) { limitTime() }
+            when {
+                response.status.isSuccess() -> ReadResult.Found(stored(key.kind, response))
+                response.status == HttpStatusCode.NotFound -> ReadResult.Missing
+                else -> ReadResult.Unavailable("status ${response.status.value}")
+            }
+        }
+
+    override suspend fun list(kind: String): ListResult = readCall({ ListResult.Unavailable(it) }) {
+        val response = client.get("$root/$kind") { limitTime() }
+        if (response.status.isSuccess()) {
+            val list = json.decodeFromString<ApiList>(response.bodyAsText())
+            val objects = list.items.map { stored(kind, it) }.toImmutableList()
+            ListResult.Listed(objects, version(list.metadata))
+        } else {
+            ListResult.Unavailable("status ${response.status.value}")
+        }
+    }
+
+    override suspend fun put(
+        key: ObjectKey,
+        value: String,
+        condition: WriteCondition,
+        writeId: String,
+    ): WriteResult = writeCall {
+        when (condition) {
+            is WriteCondition.Absent ->
+                client.post("$root/${key.kind}") { body(key, value, null, writeId) }
+            is WriteCondition.AtVersion ->
+                client.put(path(key)) { body(key, value, condition.version, writeId) }
+        }
+    }
+
+    override suspend fun delete(key: ObjectKey, condition: WriteCondition.AtVersion): WriteResult =
+        writeCall {
+            client.delete(path(key)) {
+                limitTime()
+                contentType(ContentType.Application.Json)
+                val options = ApiDeleteOptions(ApiPreconditions(condition.version.toString()))
+                setBody(json.encodeToString(options))
+            }
+        }
+
+    override fun watch(kind: String, version: Long): Flow<WatchEvent> = flow {
+        val reason =
+            try {
+                collectWatch(kind, version)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                e.message.orEmpty()
+            }
+        emit(WatchEvent.Ended(reason))
+    }
+
+    override fun close() {
+        client.close()
+    }
+
+    private suspend fun FlowCollector<WatchEvent>.collectWatch(
+        kind: String,
+        version: Long,
+    ): String {
+        val statement =
+            client.prepareGet("$root/$kind?watch=true&resourceVersion=$version") {
+                timeout { requestTimeoutMillis = HttpTimeoutConfig.INFINITE_TIMEOUT_MS }
+            }
+        return statement.execute { response ->
+            if (!response.status.isSuccess()) return@execute "status ${response.status.value}"
+            val lines = response.bodyAsChannel()
+            while (true) {
+                val line = lines.readUTF8Line() ?: break
+                val event = json.decodeFromString<ApiWatchEvent>(line)
+                emit(watchEvent(kind, event) ?: return@execute "version too old")
+            }
+            "stream ended"
+        }
+    }
+
+    private fun watchEvent(kind: String, event: ApiWatchEvent): WatchEvent? = when (event.type) {
+        "ADDED", "MODIFIED" -> WatchEvent.Put(stored(kind, event.value))
+        "DELETED" -> {
+            val key = ObjectKey(kind, event.value.metadata.name)
+            WatchEvent.Deleted(key, version(event.value.metadata))
+        }
+        else -> null
+    }
+
+    private fun HttpRequestBuilder.limitTime() {
+        timeout { requestTimeoutMillis = callTimeout.inWholeMilliseconds }
+    }
+
+    private fun HttpRequestBuilder.body(
+        key: ObjectKey,
+        value: String,
+        version: Long?,
+        writeId: String,
+    ) {
+        limitTime()
+        contentType(ContentType.Application.Json)
+        val annotations = mapOf(WRITE_ID_ANNOTATION to writeId)
+        val metadata = ApiMetadata(key.name, version?.toString(), annotations)
+        val spec = json.parseToJsonElement(value)
+        setBody(json.encodeToString(ApiObject(kind = key.kind, metadata = metadata, spec = spec)))
+    }
+
+    private suspend fun <R> readCall(unavailable: (String) -> R, call: suspend () -> R): R = try {
+        call()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        unavailable(e.message.orEmpty())
+    }
+
+    /** Tells a call that never left from one whose answer was lost. */
+    private suspend fun writeCall(call: suspend () -> HttpResponse): WriteResult = try {
+        writeResult(call())
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        WriteResult.Refused(e.message.orEmpty())
+    } catch (e: ConnectTimeoutException) {
+        WriteResult.Refused(e.message.orEmpty())
+    } catch (e: Exception) {
+        WriteResult.Unknown(e.message.orEmpty())
+    }
+
+    private suspend fun writeResult(response: HttpResponse): WriteResult {
+        val status = response.status
+        return when {
+            status.isSuccess() -> {
+                val written = json.decodeFromString<ApiObject>(response.bodyAsText())
+                WriteResult.Written(version(written.metadata))
+            }
+            status == HttpStatusCode.Conflict || status == HttpStatusCode.NotFound ->
+                WriteResult.Conflict
+            status.value in CLIENT_ERRORS -> WriteResult.Refused("status ${status.value}")
+            else -> WriteResult.Unknown("status ${status.value}")
+        }
+    }
+
+    private suspend fun stored(kind: String, response: HttpResponse): StoredObject =
+        stored(kind, json.decodeFromString<ApiObject>(response.bodyAsText()))
+
+    private fun stored(kind: String, value: ApiObject): StoredObject {
+        val writeId = value.metadata.annotations[WRITE_ID_ANNOTATION].orEmpty()
+        val key = ObjectKey(kind, value.metadata.name)
+        return StoredObject(key, version(value.metadata), writeId, value.spec.toString())
+    }
+
+    private fun version(metadata: ApiMetadata): Long =
+        metadata.resourceVersion?.toLongOrNull() ?: 0L
+
+    private fun path(key: ObjectKey): String = "$root/${key.kind}/${key.name}"
+
+    private companion object {
+        val CLIENT_ERRORS = 400..499
+        val json =
+            Json {
+                ignoreUnknownKeys = true
+                encodeDefaults = true
+                explicitNulls = false
+            }
+    }
+}
