Send attempts to engines and calls to plain services

Cause: cores need targets. Change: completions with running token counts as offsets, continuation by prompt plus prefix, and failures told apart (never sent, lost, overloaded, rejected, engine fault). Test: HttpEngineClientTest, 7 cases pass; a chunk sent twice keeps its offset.

--- /dev/null
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/ChunkReader.kt
@@ -0,0 +1,59 @@
+/** Turns the chunks of one attempt into events with token offsets. */
+package burdockspread.target.engine
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * Reads the data lines of one attempt.
+ *
+ * The running token count in each chunk's usage gives its offset, so that a chunk that was sent
+ * twice keeps its place. A chunk without a count holds one token.
+ */
+internal class ChunkReader {
+    private var end = 0
+    private var reason: String? = null
+
+    /** The events of one [data] line; null after the last one. */
+    fun read(data: String): EngineEvent? = if (data == DONE) finish() else readChunk(data)
+
+    /** The event for a stream that ended without its last line. */
+    fun ended(): EngineEvent =
+        finish() ?: EngineEvent.Failed(EngineFailure.CONNECTION_LOST, "stream ended early")
+
+    private fun finish(): EngineEvent? = reason?.let { EngineEvent.Finished(it, end) }
+
+    private fun readChunk(data: String): EngineEvent? {
+        val chunk =
+            try {
+                json.decodeFromString<EngineChunk>(data)
+            } catch (e: SerializationException) {
+                return EngineEvent.Failed(EngineFailure.ENGINE_FAULT, "chunk is not valid JSON")
+            }
+        val choice = chunk.choices.firstOrNull() ?: return null
+        choice.finishReason?.let { reason = it }
+        if (choice.piece.isEmpty()) return null
+        val counted = chunk.usage?.completionTokens ?: (end + 1)
+        val count = (counted - end).coerceAtLeast(1)
+        val offset = counted - count
+        end = maxOf(end, counted)
+        return EngineEvent.Tokens(
+            offset,
+            split(choice.piece, count),
+            chunk.usage?.details?.cachedTokens,
+        )
+    }
+
+    /** A chunk of several tokens keeps its text in the first, so that offsets stay right. */
+    private fun split(piece: String, count: Int) = when (count) {
+        1 -> persistentListOf(piece)
+        else -> (listOf(piece) + List(count - 1) { "" }).toImmutableList()
+    }
+
+    private companion object {
+        const val DONE = "[DONE]"
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/service/HttpServiceClient.kt
@@ -0,0 +1,52 @@
+/** Client of plain services over HTTP. */
+package burdockspread.target.service
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.coroutines.CancellationException
+import java.io.Closeable
+import java.net.ConnectException
+import kotlin.time.Duration
+
+/** Sends calls as `POST /{call}` and never repeats one by itself. */
+public class HttpServiceClient(connectTimeout: Duration) :
+    ServiceClient,
+    Closeable {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            install(HttpTimeout) { connectTimeoutMillis = connectTimeout.inWholeMilliseconds }
+        }
+
+    override suspend fun send(call: ServiceCall): ServiceResult = try {
+        val response =
+            client.post("http://${call.address}/${call.call}") {
+                timeout { requestTimeoutMillis = call.timeout.inWholeMilliseconds }
+                contentType(ContentType.Application.Json)
+                call.key?.let { header("Idempotency-Key", it) }
+                setBody(call.body)
+            }
+        ServiceResult.Answered(response.status.value, response.bodyAsText())
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        ServiceResult.NotSent(e.message.orEmpty())
+    } catch (e: ConnectTimeoutException) {
+        ServiceResult.NotSent(e.message.orEmpty())
+    } catch (e: Exception) {
+        ServiceResult.Unknown(e.message.orEmpty())
+    }
+
+    override fun close() {
+        client.close()
+    }
+}
--- /dev/null
+++ b/burdock-targets/src/test/kotlin/burdockspread/target/engine/HttpEngineClientTest.kt
@@ -0,0 +1,121 @@
+package burdockspread.target.engine
+
+import burdockspread.fakes.engine.EngineFault
+import burdockspread.fakes.engine.EngineOptions
+import burdockspread.fakes.engine.EngineServer
+import burdockspread.fakes.engine.TextModel
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import java.net.ServerSocket
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class HttpEngineClientTest {
+    private val port = ServerSocket(0).use { it.localPort }
+    private val engine = EngineServer(port, EngineOptions(tokenInterval = 1.milliseconds))
+    private val client = HttpEngineClient(5.seconds)
+    private val prompt = "Summary of shift B:"
+    private val reference = TextModel().answer(prompt, 20)
+
+    @BeforeEach
+    fun start() = engine.start()
+
+    @AfterEach
+    fun stop() {
+        client.close()
+        engine.stop()
+    }
+
+    private fun call(prefixLength: Int = 0): EngineCall {
+        val json = """{"model":"m","prompt":"$prompt","max_tokens":20}"""
+        val body = assertNotNull(CompletionBody.parse(CompletionApi.COMPLETIONS, json).getOrNull())
+        val prefix = reference.take(prefixLength).toImmutableList()
+        return EngineCall("127.0.0.1:$port", body, prefix, 20 - prefixLength, 0)
+    }
+
+    private fun events(call: EngineCall): List<EngineEvent> =
+        runBlocking { client.generate(call).toList() }
+
+    private fun tokens(events: List<EngineEvent>): List<String> =
+        events.filterIsInstance<EngineEvent.Tokens>().flatMap { it.tokens }
+
+    @Test
+    fun `reads a whole answer with offsets`() {
+        val events = events(call())
+        assertEquals(reference, tokens(events))
+        val offsets = events.filterIsInstance<EngineEvent.Tokens>().map { it.offset }
+        assertEquals((0 until 20).toList(), offsets)
+        assertEquals(EngineEvent.Finished("length", 20), events.last())
+    }
+
+    @Test
+    fun `goes on after a prefix`() {
+        assertEquals(reference.drop(7), tokens(events(call(7))))
+    }
+
+    @Test
+    fun `goes on after a partial chat answer`() {
+        val json =
+            """{"model":"m","messages":[{"role":"user","content":"$prompt"}],"max_tokens":20}"""
+        val body = assertNotNull(CompletionBody.parse(CompletionApi.CHAT, json).getOrNull())
+        val prefix = reference.take(4).toImmutableList()
+        val events = events(EngineCall("127.0.0.1:$port", body, prefix, 16, 0))
+        assertEquals(reference.drop(4), tokens(events))
+    }
+
+    @Test
+    fun `keeps the offset of a chunk that is sent twice`() {
+        engine.show(EngineFault.RESEND)
+        val offsets = events(call()).filterIsInstance<EngineEvent.Tokens>().map { it.offset }
+        assertEquals((0 until 20).flatMap { listOf(it, it) }, offsets)
+    }
+
+    @Test
+    fun `reports an answer that ends early as lost`() {
+        engine.show(EngineFault.SHORT)
+        val last = events(call()).last() as EngineEvent.Failed
+        assertEquals(EngineFailure.CONNECTION_LOST, last.cause)
+    }
+
+    @Test
+    fun `tells an unreachable engine from a failing one`() {
+        engine.show(EngineFault.ERROR)
+        assertEquals(
+            EngineFailure.ENGINE_FAULT,
+            (events(call()).single() as EngineEvent.Failed).cause,
+        )
+        engine.stop()
+        assertEquals(
+            EngineFailure.UNREACHABLE,
+            (events(call()).single() as EngineEvent.Failed).cause,
+        )
+    }
+
+    @Test
+    fun `refuses a malformed body with its reason`() {
+        val texts = persistentListOf("{", "[]", "{}", """{"model":"m"}""", BAD_TOKENS)
+        val details = texts.map {
+            CompletionBody.parse(CompletionApi.COMPLETIONS, it).leftOrNull()?.detail
+        }
+        val expected =
+            listOf(
+                "not valid JSON",
+                "an object is expected",
+                "model: a name is needed",
+                "prompt: a string is needed",
+                "max_tokens: a positive integer is needed",
+            )
+        assertEquals(expected, details)
+    }
+
+    private companion object {
+        const val BAD_TOKENS = """{"model":"m","prompt":"p","max_tokens":-1}"""
+    }
+}
