--- /dev/null
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/DaemonCommand.kt
@@ -0,0 +1,65 @@
+/** The command line that the daemons share. */
+package burdockspread.settings
+
+import burdockspread.json.JsonProblem
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.versionOption
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.path
+import com.google.protobuf.Message
+
+/**
+ * A daemon's command line: `--config FILE` runs it, `check-config` after it only checks the file.
+ *
+ * @param M message type of the settings.
+ */
+public class DaemonCommand<M : Message>(
+    name: String,
+    private val about: String,
+    private val loader: SettingsLoader<M>,
+    private val daemon: (M) -> ExitCode,
+) : CliktCommand(name) {
+    init {
+        versionOption(VERSION)
+    }
+
+    private val config by option(help = "settings in JSON").path().required()
+    private val action by argument(help = "what to do instead of running").choice(CHECK).optional()
+
+    override fun help(context: Context): String = about
+
+    override fun run() {
+        val exit = loader.load(config).fold(::refuse) {
+            if (action ==
+                CHECK
+            ) {
+                accept()
+            } else {
+                daemon(it)
+            }
+        }
+        throw ProgramResult(exit.status)
+    }
+
+    private fun refuse(problems: List<JsonProblem>): ExitCode {
+        problems.forEach { echo("$config: $it", err = true) }
+        return ExitCode.SETTINGS_INVALID
+    }
+
+    private fun accept(): ExitCode {
+        echo("$config: valid")
+        return ExitCode.OK
+    }
+
+    public companion object {
+        /** Version of all programs. */
+        public const val VERSION: String = "0.1.0"
+        private const val CHECK = "check-config"
+    }
+}
--- /dev/null
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
@@ -0,0 +1,68 @@
+/** Rules shared by the settings of several programs. */
+package burdockspread.settings
+
+import burdockspread.wire.settings.EntrySettings
+import burdockspread.wire.settings.HostSettings
+import burdockspread.wire.settings.StewardSettings
+import burdockspread.wire.settings.StoreSettings
+
+/** Loader of the settings of `burdock-entry`. */
+public val entrySettings: SettingsLoader<EntrySettings> =
+    SettingsLoader(EntrySettings.getDefaultInstance()) { settings ->
+        host(settings.host)
+        address("callerAddress", settings.callerAddress)
+        address("operatorAddress", settings.operatorAddress)
+        address("peerAddress", settings.peerAddress)
+        val ports = listOf(settings.callerAddress, settings.operatorAddress, settings.peerAddress)
+        check("peerAddress", ports.distinct() == ports, "each port needs an address of its own")
+        store(settings.store)
+        callerLimits(settings)
+        journal(settings)
+        positive("drain.deadline", settings.drain.deadline)
+        settings.seedPeersList.forEachIndexed { i, peer -> address("seedPeers[$i]", peer) }
+    }
+
+/** Loader of the settings of `burdock-steward`. */
+public val stewardSettings: SettingsLoader<StewardSettings> =
+    SettingsLoader(StewardSettings.getDefaultInstance()) { settings ->
+        host(settings.host)
+        address("operatorAddress", settings.operatorAddress)
+        store(settings.store)
+        val duties = settings.duties
+        positive("duties.lease", duties.lease)
+        positive("duties.renew", duties.renew)
+        positive("duties.margin", duties.margin)
+        val spare = duties.lease.toKotlin() - duties.margin.toKotlin() - duties.renew.toKotlin()
+        check("duties.renew", spare.isPositive(), "renew and margin together must be below lease")
+        settings.seedPeersList.forEachIndexed { i, peer -> address("seedPeers[$i]", peer) }
+    }
+
+/** Checks the settings of the store's client. */
+public fun SettingsRules.store(settings: StoreSettings) {
+    address("store.address", settings.address)
+    required("store.namespace", settings.namespace)
+    positive("store.callTimeout", settings.callTimeout)
+}
+
+private fun SettingsRules.host(settings: HostSettings) {
+    required("host.name", settings.name)
+    required("host.failureDomain", settings.failureDomain)
+}
+
+private fun SettingsRules.callerLimits(settings: EntrySettings) {
+    val limits = settings.callerLimits
+    positive("callerLimits.maxBodyKib", limits.maxBodyKib)
+    positive("callerLimits.maxOpenRequests", limits.maxOpenRequests)
+    positive("callerLimits.requestTimeout", limits.requestTimeout)
+    positive("callerLimits.writeTimeout", limits.writeTimeout)
+    positive("callerLimits.idleTimeout", limits.idleTimeout)
+}
+
+private fun SettingsRules.journal(settings: EntrySettings) {
+    val journal = settings.journal
+    check("journal.copies", journal.copies >= 0, "a number from zero up is needed")
+    positive("journal.maxCopiesMib", journal.maxCopiesMib)
+    positive("journal.copyAfter", journal.copyAfter)
+    positive("journal.copyInterval", journal.copyInterval)
+    positive("journal.keepFinished", journal.keepFinished)
+}
--- /dev/null
+++ b/burdock-settings/src/test/kotlin/burdockspread/settings/SettingsLoaderTest.kt
@@ -0,0 +1,48 @@
+package burdockspread.settings
+
+import java.nio.file.Path
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SettingsLoaderTest {
+    private fun problems(text: String): List<String> =
+        stewardSettings.parse(text).leftOrNull().orEmpty().map { it.toString() }
+
+    @Test
+    fun `accepts valid settings`() {
+        assertEquals(emptyList(), problems(steward("3s")))
+    }
+
+    @Test
+    fun `refuses an impossible combination with its path`() {
+        assertEquals(
+            listOf("duties.renew: renew and margin together must be below lease"),
+            problems(steward("9s")),
+        )
+    }
+
+    @Test
+    fun `names the path of each missing or malformed value`() {
+        val paths = problems("{}").map { it.substringBefore(":") }
+        assertTrue("store.address" in paths && "host.name" in paths, "$paths")
+        val bad = problems(steward("3s").replace("127.0.0.1:7300", "localhost"))
+        assertTrue(bad.single().startsWith("operatorAddress: \"localhost\" is not"), "$bad")
+    }
+
+    @Test
+    fun `refuses a missing file`() {
+        val problems = entrySettings.load(Path.of("missing.json")).leftOrNull().orEmpty()
+        assertEquals("missing.json does not exist", problems.single().toString())
+    }
+
+    private fun steward(renew: String): String =
+        """
+        {
+          "host": {"name": "a-1", "failureDomain": "a", "region": "west"},
+          "operatorAddress": "127.0.0.1:7300",
+          "store": {"address": "127.0.0.1:7000", "namespace": "demo", "callTimeout": "1s"},
+          "duties": {"lease": "10s", "renew": "$renew", "margin": "2s"}
+        }
+        """.trimIndent()
+}
