--- /dev/null
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/Peer.kt
@@ -0,0 +1,12 @@
+/** Hosts that a host may exchange entries with. */
+package burdockspread.spread
+
+import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
+
+/** An entry host with its place. */
+public data class Peer(
+    public val host: HostId,
+    public val domain: FailureDomainId,
+    public val region: String,
+)
