--- /dev/null
+++ b/burdock-duty-core/src/main/kotlin/burdockspread/duty/RealDutySet.kt
@@ -0,0 +1,90 @@
+/** The duties of one process, kept in memory. */
+package burdockspread.duty
+
+import burdockspread.id.HostId
+import burdockspread.store.ResolvedWrite
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableMap
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Instant
+
+internal class RealDutySet(private val self: CandidateId, private val settings: LeaseSettings) :
+    DutySet {
+    private val leases = LinkedHashMap<Duty, Lease>()
+    private var listed = emptySet<Duty>()
+    private var candidates = emptyList<Candidate>()
+    private var candidacies = emptyMap<Duty, Candidacy>()
+
+    override val snapshot: AtomicReference<ImmutableMap<Duty, HeldLease>> =
+        AtomicReference(persistentMapOf())
+
+    override fun held(duty: Duty, now: Instant): HeldLease? =
+        snapshot.get()[duty]?.takeIf { now < it.deadline }
+
+    override fun onDuties(duties: ImmutableList<Duty>) {
+        listed = duties.toSet()
+        duties.forEach { leases.getOrPut(it) { RealLease(it, self, settings) } }
+        candidacies = listed.associateWith { candidacy(it) }
+    }
+
+    override fun onCandidates(candidates: ImmutableList<Candidate>) {
+        val gone = this.candidates.map { it.host } - candidates.map { it.host }.toSet()
+        this.candidates = candidates
+        candidacies = listed.associateWith { candidacy(it) }
+        leases.values
+            .filter { lease -> gone.any { isHeldBy(lease, it) } }
+            .forEach { it.nudge() }
+    }
+
+    override fun tick(now: Instant): ImmutableList<LeaseEffect> {
+        val effects = leases.flatMap { (duty, lease) ->
+            lease.tick(candidacies[duty] ?: Candidacy.NONE, now)
+        }
+        refresh(now)
+        leases.entries.removeAll { (duty, lease) -> duty !in listed && lease.isIdle }
+        return effects.toImmutableList()
+    }
+
+    override fun onRead(duty: Duty, read: LeaseRead, now: Instant): ImmutableList<LeaseEffect> =
+        change(duty, now) { it.onRead(read, now) }
+
+    override fun onWritten(
+        duty: Duty,
+        writeId: String,
+        result: ResolvedWrite,
+        now: Instant,
+    ): ImmutableList<LeaseEffect> = change(duty, now) { it.onWritten(writeId, result, now) }
+
+    private fun change(
+        duty: Duty,
+        now: Instant,
+        event: (Lease) -> ImmutableList<LeaseEffect>,
+    ): ImmutableList<LeaseEffect> {
+        val lease = leases[duty] ?: return persistentListOf()
+        val effects = event(lease)
+        refresh(now)
+        return effects
+    }
+
+    private fun candidacy(duty: Duty): Candidacy {
+        val order = rendezvousOrder(duty, candidates)
+        return when (order.indexOfFirst { it.host == self.host }) {
+            -1 -> Candidacy.NONE
+            0 -> Candidacy.FIRST
+            1 -> Candidacy.BACKUP
+            else -> Candidacy.KEEP
+        }
+    }
+
+    private fun isHeldBy(lease: Lease, host: HostId): Boolean =
+        lease.seenHolder?.startsWith("$host/") ?: false
+
+    private fun refresh(now: Instant) {
+        val held = leases.mapNotNull { (duty, lease) -> lease.held(now)?.let { duty to it } }
+        snapshot.set(held.toMap().toImmutableMap())
+    }
+}
--- /dev/null
+++ b/burdock-duty-core/src/main/kotlin/burdockspread/order/OrderPlan.kt
@@ -0,0 +1,32 @@
+/** The next order for one target. */
+package burdockspread.order
+
+import burdockspread.id.ModelId
+
+/** The first order that brings [observed] closer to [desired], or null when nothing differs. */
+internal fun nextOrder(desired: DesiredTarget, observed: ObservedTarget): Order? =
+    roleOrder(desired, observed)
+        ?: desired.models.entries
+            .sortedBy { it.key.value }
+            .firstNotNullOfOrNull { (model, spec) -> modelOrder(model, spec, observed) }
+        ?: unloadOrder(desired, observed)
+
+private fun roleOrder(desired: DesiredTarget, observed: ObservedTarget): Order? =
+    if (desired.role == observed.role) null else Order.ChangeRole(desired.role)
+
+private fun modelOrder(model: ModelId, spec: ModelSpec, observed: ObservedTarget): Order? {
+    val present = observed.models[model]
+    return when {
+        observed.loading[model] == spec.version -> null
+        present?.version != spec.version || model in observed.loading ->
+            Order.LoadModel(model, spec.version)
+        present.adapters != spec.adapters -> Order.SetAdapters(model, spec.adapters)
+        else -> null
+    }
+}
+
+private fun unloadOrder(desired: DesiredTarget, observed: ObservedTarget): Order? =
+    (observed.models.keys + observed.loading.keys)
+        .filter { it !in desired.models }
+        .minByOrNull { it.value }
+        ?.let { Order.UnloadModel(it) }
