--- /dev/null
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/CanonicalJson.kt
@@ -0,0 +1,16 @@
+/** The one text form of a section, so that equal sections have equal texts. */
+package burdockspread.document
+
+import burdockspread.json.SchemaJson
+import burdockspread.wire.document.Section
+
+/** Writes sections with a fixed order of their elements. */
+public object CanonicalJson {
+    /** One line of JSON for [section] at [version]. */
+    public fun write(section: Section, version: Long): String =
+        SchemaJson.writeLine(section.sorted().setVersion(version).build())
+
+    /** Indented JSON for people, with the version that an edit has to start from. */
+    public fun writeIndented(section: Section, version: Long): String =
+        SchemaJson.write(section.sorted().setVersion(version).build())
+}
--- /dev/null
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/Organisation.kt
@@ -0,0 +1,31 @@
+/** Organisations as the document describes them. */
+package burdockspread.document
+
+import burdockspread.id.OrganisationId
+import kotlinx.collections.immutable.ImmutableList
+
+/**
+ * One organisation.
+ *
+ * @property apiKeyHashes SHA-256 of each API key, in lower-case hexadecimal.
+ * @property defaultPriority priority of requests that name none.
+ */
+public data class Organisation(
+    public val id: OrganisationId,
+    public val apiKeyHashes: ImmutableList<String>,
+    public val defaultPriority: PriorityName,
+    public val limits: OrganisationLimits,
+)
+
+/**
+ * Limits of one organisation across all entry hosts; null means unlimited.
+ *
+ * @property cutOffFloor fraction of each limit, 0 to 1, that a failure domain may spend while it
+ * is cut off.
+ */
+public data class OrganisationLimits(
+    public val requestsPerSecond: Double?,
+    public val tokensPerSecond: Double?,
+    public val concurrent: Int?,
+    public val cutOffFloor: Double,
+)
