Choose targets by expected time to the first token

Cause: the entry needs a choice among up to 12,000 targets from late load reports, its own sends and prefix cache records, at a cost that does not grow with the pool. Change: random samples from the own failure domain, a wider sample when those have to wait, and the targets recorded for the longest prompt prefix; the lowest estimate wins. Ruled out: a scan of the pool (cost), a lock around an ordered index (request path). Shown by: 8 named tests of TargetChooserTest.

--- /dev/null
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/PromptBlocks.kt
@@ -0,0 +1,62 @@
+/** Hashes of a prompt's prefixes, by which routing finds targets that hold them in their cache. */
+package burdockspread.route
+
+import com.google.common.hash.Hashing
+
+/**
+ * Chained hashes of a prompt's blocks: entry `i` names the prefix of `i + 1` whole blocks.
+ *
+ * @property tokensPerBlock approximate number of tokens in one block.
+ */
+public class PromptBlocks private constructor(
+    private val hashes: LongArray,
+    public val tokensPerBlock: Int,
+) {
+    /** Number of whole blocks. */
+    public val size: Int get() = hashes.size
+
+    /** Hash of the prefix of [index] + 1 blocks. */
+    public operator fun get(index: Int): Long = hashes[index]
+
+    /** Makes block hashes. */
+    public companion object {
+        /** A prompt of which nothing is known. */
+        public val EMPTY: PromptBlocks = PromptBlocks(LongArray(0), 1)
+
+        /** Longest prefix that is hashed, in blocks. */
+        public const val MAX_BLOCKS: Int = 64
+
+        /** Characters in one block of a text prompt. */
+        public const val BLOCK_CHARS: Int = 512
+
+        /** Tokens in one block of a text prompt, at four characters for each token. */
+        public const val BLOCK_TOKENS: Int = BLOCK_CHARS / 4
+
+        /**
+         * Hashes the whole blocks of [text]. Prompts of different [scope]s, for example model
+         * version and adapter, never match.
+         */
+        public fun ofText(text: CharSequence, scope: String): PromptBlocks {
+            val count = minOf(text.length / BLOCK_CHARS, MAX_BLOCKS)
+            if (count == 0) return EMPTY
+            val hashes = LongArray(count)
+            var previous = HASH.hashUnencodedChars(scope).asLong()
+            for (index in 0 until count) {
+                val block = text.subSequence(index * BLOCK_CHARS, (index + 1) * BLOCK_CHARS)
+                previous = HASH.newHasher()
+                    .putLong(previous)
+                    .putUnencodedChars(block)
+                    .hash()
+                    .asLong()
+                hashes[index] = previous
+            }
+            return PromptBlocks(hashes, BLOCK_TOKENS)
+        }
+
+        /** Takes prefix hashes that are chained already. */
+        public fun ofHashes(hashes: LongArray, tokensPerBlock: Int): PromptBlocks =
+            PromptBlocks(hashes.copyOf(minOf(hashes.size, MAX_BLOCKS)), tokensPerBlock)
+
+        private val HASH = Hashing.murmur3_128()
+    }
+}
--- /dev/null
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetRegistry.kt
@@ -0,0 +1,52 @@
+/** Keeps the live counters of targets while snapshots of pools come and go. */
+package burdockspread.route
+
+import burdockspread.id.TargetId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Live counters by target, and the maker of pool snapshots. */
+public class TargetRegistry(private val options: RouteOptions = RouteOptions()) {
+    private val targets = ConcurrentHashMap<TargetId, LiveTarget>()
+    private val pools = ConcurrentHashMap<PoolKey, PoolLoad>()
+    private val nextIndex = AtomicInteger()
+
+    /** Number of targets with counters. */
+    public val size: Int get() = targets.size
+
+    /** An immutable snapshot of the pool [key] with [specs]. */
+    public fun pool(key: PoolKey, specs: Iterable<TargetSpec>): TargetPool {
+        val load = pools.computeIfAbsent(key) { PoolLoad() }
+        val members = specs
+            .sortedBy { it.id.value }
+            .map { Member(it, live(it.id)) }
+            .toTypedArray()
+        members.forEach {
+            it.live.poolLoad = load
+            it.live.batchSlots = it.spec.batchSlots
+        }
+        return TargetPool(key, members, load)
+    }
+
+    /** Own requests in flight at [target]. */
+    public fun inFlight(target: TargetId): Int = targets[target]?.inFlight?.get() ?: 0
+
+    /** Forgets the counters of all targets but [ids]. */
+    public fun retain(ids: Set<TargetId>) {
+        targets.keys.retainAll(ids)
+    }
+
+    internal fun find(id: TargetId): LiveTarget? = targets[id]
+
+    private fun live(id: TargetId): LiveTarget = targets.computeIfAbsent(id) {
+        LiveTarget(id, nextIndex.getAndIncrement() and PrefixIndex.MAX_TARGET, options)
+    }
+}
+
+/** Mean load of a pool, in requests for each batch slot, from the reports of its targets. */
+internal class PoolLoad {
+    val mean = Average(0.0)
+}
+
+/** A target of a pool with its counters. */
+internal class Member(val spec: TargetSpec, val live: LiveTarget)
--- /dev/null
+++ b/burdock-routing-core/src/test/kotlin/burdockspread/route/TargetChooserTest.kt
@@ -0,0 +1,116 @@
+package burdockspread.route
+
+import arrow.core.getOrElse
+import burdockspread.error.ErrorCode
+import burdockspread.id.FailureDomainId
+import burdockspread.id.ModelId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentSet
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class TargetChooserTest {
+    private val start = Instant.fromEpochSeconds(1_000_000)
+    private val registry = TargetRegistry()
+    private val chooser = TargetChooser(FailureDomainId("a"), registry, seed = 7)
+    private val pool = pool(listOf("a", "b"), each = 4)
+
+    @Test
+    fun `the own failure domain is chosen while it is not much slower`() {
+        repeat(100) { assertEquals("a", choose(RouteRequest()).target.failureDomain.value) }
+    }
+
+    @Test
+    fun `another failure domain is chosen when the own one is overloaded`() {
+        pool.targets.filter { it.failureDomain.value == "a" }.forEach { report(it, queued = 40) }
+        pool.targets.filter { it.failureDomain.value == "b" }.forEach { report(it, queued = 0) }
+        val chosen = List(100) { choose(RouteRequest()).target.failureDomain.value }
+        assertTrue(chosen.count { it == "b" } >= 80, "$chosen")
+    }
+
+    @Test
+    fun `targets that failed the request are never chosen again`() {
+        val all = pool.targets.map { it.id }
+        val request = RouteRequest(avoid = all.drop(1).toPersistentSet())
+        repeat(20) { assertEquals(all.first(), choose(request).target.id) }
+        val refusal = chooser.choose(RouteRequest(avoid = all.toPersistentSet()), pool, start)
+        assertEquals(ErrorCode.NO_TARGET, refusal.leftOrNull()?.code)
+    }
+
+    @Test
+    fun `a prompt goes back to the target that holds its prefix until the cache is cleared`() {
+        val blocks = PromptBlocks.ofText("x".repeat(20_000), "m1")
+        val request = RouteRequest(promptTokens = 5_000, blocks = blocks)
+        val first = choose(request)
+        chooser.onSent(request, first, start).onDone(start)
+        repeat(20) { assertEquals(first.target, choose(request).target) }
+        chooser.onCacheEvent(CacheEvent.Cleared(first.target.id, 1), start + 1.seconds)
+        val cached = chooser.choose(request, pool, start + 2.seconds).getOrElse { error(it) }
+        assertEquals(0, cached.estimate.cachedTokens)
+    }
+
+    @Test
+    fun `own requests since a late report count`() {
+        pool.targets.forEach { report(it, queued = 0) }
+        val counts = HashMap<TargetId, Int>()
+        repeat(160) {
+            val choice = choose(RouteRequest())
+            chooser.onSent(RouteRequest(), choice, start)
+            counts.merge(choice.target.id, 1, Int::plus)
+        }
+        assertTrue(counts.values.max() <= 26, "$counts")
+    }
+
+    @Test
+    fun `a target that refuses connections gets a pause that ends`() {
+        val only = pool(listOf("a"), each = 1)
+        val choice = chooser.choose(RouteRequest(), only, start).getOrElse { error(it) }
+        val flight = chooser.onSent(RouteRequest(), choice, start)
+        flight.onFailed(FlightFailure.NOT_CONNECTED, start)
+        assertTrue(chooser.choose(RouteRequest(), only, start).isLeft())
+        assertTrue(chooser.choose(RouteRequest(), only, start + 1.seconds).isRight())
+    }
+
+    @Test
+    fun `queued work of higher levels does not delay an urgent request`() {
+        val only = pool(listOf("a"), each = 1)
+        val target = only.targets.first().id
+        chooser.onReport(LoadReport(target, start, 0, persistentListOf(0, 64)))
+        val urgent = chooser.choose(RouteRequest(priorityLevel = 0), only, start)
+        val patient = chooser.choose(RouteRequest(priorityLevel = 1), only, start)
+        assertTrue(urgent.getOrElse { error(it) }.estimate.queue < 1.seconds)
+        assertTrue(patient.getOrElse { error(it) }.estimate.queue > 10.seconds)
+    }
+
+    @Test
+    fun `an adapter draws its requests to the targets that have it`() {
+        val specs = pool.targets.mapIndexed { index, spec ->
+            if (index == 2) spec.copy(adapters = persistentSetOf("retail")) else spec
+        }
+        val adapted = registry.pool(pool.key, specs)
+        repeat(20) {
+            val choice = chooser.choose(RouteRequest(adapter = "retail"), adapted, start)
+            assertEquals(specs[2].id, choice.getOrElse { error(it) }.target.id)
+        }
+    }
+
+    private fun choose(request: RouteRequest): Choice =
+        chooser.choose(request, pool, start).getOrElse { error(it) }
+
+    private fun report(spec: TargetSpec, queued: Int) {
+        val running = if (queued > 0) spec.batchSlots else 0
+        chooser.onReport(LoadReport(spec.id, start, running, persistentListOf(queued)))
+    }
+
+    private fun pool(domains: List<String>, each: Int): TargetPool {
+        val specs = domains.flatMap { domain ->
+            List(each) { TargetSpec(TargetId("$domain-$it"), FailureDomainId(domain), 16) }
+        }
+        return registry.pool(PoolKey.Model(ModelId("m")), specs)
+    }
+}
