Admit by deadline and priority with a bounded queue for each pool

Cause: beyond capacity, engines' own queues grow until no first token meets its deadline. The order is arrival plus a step for each priority level, so that no level starves. Ruled out: a queue for each level with strict order (starves the lower ones). Shown by: 6 named tests of AdmissionTest.

--- /dev/null
+++ b/burdock-routing-core/src/test/kotlin/burdockspread/admission/AdmissionTest.kt
@@ -0,0 +1,117 @@
+package burdockspread.admission
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Truth
+import burdockspread.id.FailureDomainId
+import burdockspread.id.ModelId
+import burdockspread.id.TargetId
+import burdockspread.route.Choice
+import burdockspread.route.Flight
+import burdockspread.route.PoolKey
+import burdockspread.route.RouteRequest
+import burdockspread.route.TargetChooser
+import burdockspread.route.TargetRegistry
+import burdockspread.route.TargetSpec
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class AdmissionTest {
+    private val start = Instant.fromEpochSeconds(1_000_000)
+    private val registry = TargetRegistry()
+    private val chooser = TargetChooser(FailureDomainId("a"), registry, seed = 3)
+    private val admission = Admission(chooser, AdmissionOptions(queueBound = 4))
+    private val spec = TargetSpec(TargetId("a-0"), FailureDomainId("a"), batchSlots = 2)
+    private val pool = registry.pool(PoolKey.Model(ModelId("m")), listOf(spec))
+    private val flights = ArrayDeque<Flight>()
+
+    @Test
+    fun `a request that cannot meet its deadline is refused at once as not run`() {
+        fill()
+        val decision = admission.admit(RouteRequest(deadline = start + 1.seconds), pool, start)
+        val refusal = assertIs<AdmissionDecision.Refuse>(decision).refusal
+        assertEquals(ErrorCode.DEADLINE_UNREACHABLE, refusal.code)
+        assertEquals(Truth.NOT_RUN, refusal.truth)
+        assertEquals(0, admission.waiting(pool))
+        assertEquals(2, registry.inFlight(spec.id))
+    }
+
+    @Test
+    fun `an urgent request runs before one that came earlier`() {
+        fill()
+        val patient = wait(level = 3, at = start)
+        val urgent = wait(level = 0, at = start + 1.seconds)
+        assertEquals(listOf(urgent, patient), drain(start + 3.seconds))
+    }
+
+    @Test
+    fun `a low level does not starve behind urgent requests`() {
+        fill()
+        val patient = wait(level = 1, at = start)
+        val urgent = wait(level = 0, at = start + 2100.milliseconds)
+        assertEquals(listOf(patient, urgent), drain(start + 3.seconds))
+    }
+
+    @Test
+    fun `a full queue gives the place of its last request to a more urgent one`() {
+        fill()
+        val patient = List(4) { wait(level = 2, at = start) }
+        val refused = admission.admit(RouteRequest(priorityLevel = 2), pool, start)
+        assertEquals(ErrorCode.OVERLOADED, assertIs<AdmissionDecision.Refuse>(refused).refusal.code)
+        wait(level = 0, at = start)
+        val effect = assertIs<AdmissionEffect.Refuse>(admission.onSlotFreed(pool, start).first())
+        assertEquals(patient.last(), effect.ticket)
+        assertEquals(4, admission.waiting(pool))
+    }
+
+    @Test
+    fun `a waiting request is refused when its deadline comes near without a slot`() {
+        fill()
+        val request = RouteRequest(deadline = start + 5.seconds)
+        assertIs<AdmissionDecision.Wait>(admission.admit(request, pool, start))
+        val effects = admission.onSlotFreed(pool, start + 4.seconds)
+        val refusal = assertIs<AdmissionEffect.Refuse>(effects.single()).refusal
+        assertEquals(ErrorCode.DEADLINE_UNREACHABLE, refusal.code)
+    }
+
+    @Test
+    fun `a cancelled request leaves the queue once`() {
+        fill()
+        val ticket = wait(level = 0, at = start)
+        assertTrue(admission.cancel(ticket))
+        assertEquals(false, admission.cancel(ticket))
+        assertEquals(emptyList(), drain(start + 1.seconds))
+    }
+
+    private fun fill() {
+        repeat(spec.batchSlots) {
+            val decision = admission.admit(RouteRequest(), pool, start)
+            send(assertIs<AdmissionDecision.Run>(decision).choice, start)
+        }
+    }
+
+    private fun wait(level: Int, at: Instant): Ticket {
+        val decision = admission.admit(RouteRequest(priorityLevel = level), pool, at)
+        return assertIs<AdmissionDecision.Wait>(decision).ticket
+    }
+
+    /** Ends one flight after the other and returns the tickets in the order of their start. */
+    private fun drain(at: Instant): List<Ticket> = buildList {
+        while (flights.isNotEmpty()) {
+            flights.removeFirst().onDone(at)
+            admission.onSlotFreed(pool, at).forEach {
+                val run = assertIs<AdmissionEffect.Run>(it)
+                send(run.choice, at)
+                add(run.ticket)
+            }
+        }
+    }
+
+    private fun send(choice: Choice, at: Instant) {
+        flights += chooser.onSent(RouteRequest(), choice, at)
+    }
+}
