--- /dev/null
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/GenerationEffect.kt
@@ -0,0 +1,40 @@
+/** What a generation asks its shell to do. */
+package burdockspread.generation
+
+import burdockspread.error.Refusal
+import burdockspread.id.AttemptNumber
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableSet
+
+/** One effect of [Generation.handle], to be carried out in order. */
+public sealed interface GenerationEffect {
+    /**
+     * Sends the request to an engine, with the tokens accepted so far as prefix.
+     *
+     * @property maxTokens largest number of tokens beyond the [prefix].
+     * @property avoid targets that failed this generation; used only if no other is left.
+     * @property preferCachedPrefix whether a target that caches the prefix goes before a fast one.
+     */
+    public data class OpenAttempt(
+        public val attempt: AttemptNumber,
+        public val prefix: ImmutableList<String>,
+        public val maxTokens: Int,
+        public val avoid: ImmutableSet<TargetId>,
+        public val preferCachedPrefix: Boolean,
+    ) : GenerationEffect
+
+    /** Cancels the stream of an attempt; what still arrives from it is dropped. */
+    public data class CancelAttempt(public val attempt: AttemptNumber) : GenerationEffect
+
+    /** Tokens were accepted and are in the log, the first of them at [offset]. */
+    public data class Accepted(public val offset: Int, public val tokens: ImmutableList<String>) :
+        GenerationEffect
+
+    /** The answer is whole. */
+    public data class Complete(public val reason: FinishReason, public val totalTokens: Int) :
+        GenerationEffect
+
+    /** The generation ends without a whole answer. */
+    public data class Fail(public val refusal: Refusal) : GenerationEffect
+}
--- /dev/null
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/OpenGenerations.kt
@@ -0,0 +1,103 @@
+/** The open and recently finished generations of one entry host. */
+package burdockspread.generation
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.journal.RequestKey
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Finds the generation of a request, so that the same request sent again attaches to it.
+ *
+ * Safe for use by many threads. Finished answers are kept for [keepFinished] and up to
+ * [maxFinishedBytes] together; the one that finished first is dropped first, which costs a caller
+ * that returns for it a new generation.
+ */
+public class OpenGenerations<G : Any>(
+    private val keepFinished: Duration,
+    private val maxFinishedBytes: Long,
+) {
+    private val entries = ConcurrentHashMap<RequestKey, Entry<G>>()
+    private val finished = ConcurrentLinkedQueue<Finished<G>>()
+    private val finishedBytes = AtomicLong()
+
+    /** Number of open and kept generations. */
+    public val size: Int get() = entries.size
+
+    /** Memory of the kept finished answers in bytes. */
+    public val keptBytes: Long get() = finishedBytes.get()
+
+    /** Attaches to the generation of [key], or opens the one that [create] makes. */
+    public fun open(key: RequestKey, body: BodyFingerprint, create: () -> G): Opening<G> {
+        var created = false
+        val entry = entries.computeIfAbsent(key) {
+            created = true
+            Entry(body, create())
+        }
+        return when {
+            created -> Opening.Started(entry.generation)
+            entry.body == body -> Opening.Attached(entry.generation)
+            else -> Opening.Refused(
+                Refusal(ErrorCode.REQUEST_ID_REUSED, "request ${key.request} has another body"),
+            )
+        }
+    }
+
+    /** The generation of [key], open or kept. */
+    public fun find(key: RequestKey): G? = entries[key]?.generation
+
+    /** Puts an open restart in the place of [old]; false if another one is there already. */
+    public fun restart(key: RequestKey, old: G, fresh: G): Boolean {
+        val entry = entries[key] ?: return false
+        return entry.generation === old && entries.replace(key, entry, Entry(entry.body, fresh))
+    }
+
+    /** Keeps the finished [generation], which takes [bytes] of memory. */
+    public fun finish(key: RequestKey, generation: G, bytes: Long, now: Instant) {
+        finishedBytes.addAndGet(bytes)
+        finished.add(Finished(key, generation, bytes, now + keepFinished))
+        expire(now)
+    }
+
+    /** Removes a [generation] that failed: the same request may start anew. */
+    public fun remove(key: RequestKey, generation: G) {
+        val entry = entries[key] ?: return
+        if (entry.generation === generation) entries.remove(key, entry)
+    }
+
+    /** Drops finished answers that are too old or beyond the bound on memory. */
+    public fun expire(now: Instant) {
+        while (true) {
+            val oldest = finished.peek() ?: return
+            if (oldest.expiry > now && finishedBytes.get() <= maxFinishedBytes) return
+            if (!finished.remove(oldest)) continue
+            finishedBytes.addAndGet(-oldest.bytes)
+            remove(oldest.key, oldest.generation)
+        }
+    }
+
+    private class Entry<G>(val body: BodyFingerprint, val generation: G)
+
+    private class Finished<G>(
+        val key: RequestKey,
+        val generation: G,
+        val bytes: Long,
+        val expiry: Instant,
+    )
+}
+
+/** Result of [OpenGenerations.open]. */
+public sealed interface Opening<out G> {
+    /** The request is new and has this generation. */
+    public data class Started<G>(public val generation: G) : Opening<G>
+
+    /** The request was sent before; its generation has one more reader. */
+    public data class Attached<G>(public val generation: G) : Opening<G>
+
+    /** Another request has the id. */
+    public data class Refused(public val refusal: Refusal) : Opening<Nothing>
+}
--- /dev/null
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/EventId.kt
@@ -0,0 +1,71 @@
+/** The id of a server-sent event, with which a caller says what it has received. */
+package burdockspread.journal
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.id.GenerationId
+import burdockspread.id.HostId
+import java.net.URLDecoder
+import java.net.URLEncoder
+
+/**
+ * What a caller has received: the first [offset] tokens of a continuation of a generation.
+ *
+ * The text form is `1:generation:epoch:nonce:host:offset` with names percent-encoded and the nonce
+ * in hexadecimal digits. It is safe in an HTTP header.
+ */
+public data class EventId(
+    public val generation: GenerationId,
+    public val branch: BranchId,
+    public val offset: Int,
+) {
+    /** The text form. */
+    public fun format(): String = listOf(
+        VERSION,
+        encode(generation.value),
+        branch.epoch.toString(),
+        branch.nonce.toULong().toString(HEX),
+        encode(branch.host.value),
+        offset.toString(),
+    ).joinToString(SEPARATOR)
+
+    public companion object {
+        private const val VERSION = "1"
+        private const val SEPARATOR = ":"
+        private const val FIELDS = 6
+        private const val HEX = 16
+        private const val MAX_CHARS = 1024
+
+        /** Reads the text form; MALFORMED_REQUEST for anything else. */
+        public fun parse(text: String): Either<Refusal, EventId> = either {
+            ensure(text.length <= MAX_CHARS) { malformed("longer than $MAX_CHARS characters") }
+            val fields = text.split(SEPARATOR)
+            ensure(fields.size == FIELDS) { malformed("unknown form") }
+            val (version, first, second, third, fourth) = fields
+            ensure(version == VERSION) { malformed("unknown version") }
+            val generation = ensureNotNull(decode(first)) { malformed("generation") }
+            val epoch = ensureNotNull(second.toLongOrNull()) { malformed("epoch") }
+            val nonce = ensureNotNull(third.toULongOrNull(HEX)) { malformed("nonce") }
+            val host = ensureNotNull(decode(fourth)) { malformed("host") }
+            val offset = ensureNotNull(fields.last().toIntOrNull()) { malformed("offset") }
+            ensure(epoch > 0) { malformed("epoch") }
+            ensure(offset >= 0) { malformed("offset") }
+            val branch = BranchId(epoch, HostId(host), nonce.toLong())
+            EventId(GenerationId(generation), branch, offset)
+        }
+
+        private fun malformed(part: String) =
+            Refusal(ErrorCode.MALFORMED_REQUEST, "the last event id is malformed: $part")
+
+        private fun encode(name: String) = URLEncoder.encode(name, Charsets.UTF_8)
+
+        private fun decode(text: String): String? =
+            runCatching { URLDecoder.decode(text, Charsets.UTF_8) }
+                .getOrNull()
+                ?.takeIf { it.isNotEmpty() }
+    }
+}
--- /dev/null
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
@@ -0,0 +1,183 @@
+/** The state machine that copies a journal and releases its tokens. */
+package burdockspread.journal
+
+import burdockspread.generation.FinishReason
+import burdockspread.generation.TokenLog
+import burdockspread.id.HostId
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+internal class RealOwnerJournal(
+    private val key: CopyKey,
+    override val lineage: Lineage,
+    private val log: TokenLog,
+    private val body: String,
+    private val createdAt: Instant,
+    private val policy: CopyPolicy,
+) : OwnerJournal {
+    @Volatile
+    override var released: Int = log.size
+        private set
+    override var uncovered: Boolean = false
+        private set
+    override var superseded: Boolean = false
+        private set
+
+    private var holders = emptyList<HolderState>()
+    private val effects = ArrayList<JournalEffect>()
+    private var copying = lineage.segments.size > 1
+    private var finish: FinishReason? = null
+    private var finishReleased = false
+    private var handOverBy: Instant? = null
+
+    override fun handle(input: JournalInput, now: Instant): List<JournalEffect> {
+        if (superseded) return emptyList()
+        when (input) {
+            is JournalInput.Grown -> Unit
+            is JournalInput.Finished -> finish = input.reason
+            is JournalInput.Holders -> changeHolders(input.hosts)
+            is JournalInput.Answered -> answered(input.holder, input.outcome, now)
+            is JournalInput.Unreachable -> holder(input.holder)?.let { unusable(it, now) }
+            is JournalInput.Tick -> tick(now)
+            is JournalInput.HandOver -> handOver(now)
+        }
+        if (!superseded) proceed(now)
+        return effects.toList().also { effects.clear() }
+    }
+
+    override fun nextDeadline(): Instant? {
+        if (superseded) return null
+        if (!copying) return (createdAt + policy.copyAfter).takeIf { finish == null }
+        val timers = holders.mapNotNull { holder ->
+            holder.sentAt?.let { it + policy.ackTimeout }
+                ?: holder.notBefore.takeIf { lacks(holder) }
+        }
+        return (timers + listOfNotNull(handOverBy)).minOrNull()
+    }
+
+    private fun proceed(now: Instant) {
+        startCopying(now)
+        if (copying) holders.forEach { send(it, now) }
+        uncovered = copying && holders.none { it.usable }
+        release()
+        reportHandOver(now)
+    }
+
+    private fun startCopying(now: Instant) {
+        if (copying || finish != null) return
+        val old = now - createdAt >= policy.copyAfter
+        val long = log.size >= policy.copyAfterTokens
+        copying = old || long
+    }
+
+    private fun send(holder: HolderState, now: Instant) {
+        if (holder.sentAt != null || now < holder.notBefore || !lacks(holder)) return
+        val from = holder.acked
+        val batch = JournalBatch(
+            key = key,
+            lineage = lineage,
+            offset = from,
+            tokens = log.slice(from),
+            finish = finish,
+            body = body.takeIf { from == 0 },
+            createdAt = createdAt,
+        )
+        holder.sentAt = now
+        holder.notBefore = now + policy.interval
+        effects += JournalEffect.Send(holder.host, batch)
+    }
+
+    private fun lacks(holder: HolderState): Boolean =
+        holder.acked < log.size || finish != null && !holder.finishAcked
+
+    private fun answered(host: HostId, outcome: AppendOutcome, now: Instant) {
+        val holder = holder(host) ?: return
+        holder.sentAt = null
+        when (outcome) {
+            is AppendOutcome.Appended -> {
+                holder.acked = outcome.length.coerceAtMost(log.size)
+                holder.finishAcked = outcome.finished
+                holder.usable = true
+            }
+            is AppendOutcome.Gap -> {
+                holder.acked = outcome.length.coerceAtMost(log.size)
+                holder.notBefore = now
+            }
+            is AppendOutcome.NoRoom -> unusable(holder, now)
+            is AppendOutcome.Superseded -> supersede(outcome.by)
+        }
+    }
+
+    private fun supersede(by: BranchId) {
+        superseded = true
+        effects += JournalEffect.Superseded(by)
+    }
+
+    private fun unusable(holder: HolderState, now: Instant) {
+        holder.sentAt = null
+        holder.usable = false
+        holder.notBefore = now + policy.retryInterval
+    }
+
+    private fun tick(now: Instant) {
+        val due = nextDeadline() ?: return
+        val awake = now - due <= PROCESS_PAUSE
+        holders.filter { it.sentAt != null }.forEach { checkAnswer(it, awake, now) }
+    }
+
+    /**
+     * After a pause of this process, silence says nothing about the holder: it is asked again, and
+     * nothing is released before it had its time to say that another host has taken over.
+     */
+    private fun checkAnswer(holder: HolderState, awake: Boolean, now: Instant) {
+        val sentAt = holder.sentAt ?: return
+        when {
+            !awake -> {
+                holder.sentAt = null
+                holder.notBefore = now
+            }
+            now >= sentAt + policy.ackTimeout -> unusable(holder, now)
+        }
+    }
+
+    private fun changeHolders(hosts: List<HostId>) {
+        val known = holders.associateBy { it.host }
+        holders = hosts.map { known[it] ?: HolderState(it) }
+    }
+
+    private fun release() {
+        val covered = if (copying && !uncovered) holders.maxOfOrNull { it.acked } ?: 0 else log.size
+        val until = maxOf(released, covered)
+        val finishCovered = !copying || uncovered || holders.any { it.finishAcked }
+        val end = finish.takeIf { finishCovered && until == log.size }
+        if (until == released && (end == null || finishReleased)) return
+        released = until
+        finishReleased = end != null
+        effects += JournalEffect.Release(until, end)
+    }
+
+    private fun handOver(now: Instant) {
+        copying = true
+        handOverBy = now + policy.ackTimeout * HAND_OVER_TRIES
+    }
+
+    private fun reportHandOver(now: Instant) {
+        val limit = handOverBy ?: return
+        val whole = holders.firstOrNull { it.usable && it.acked == log.size && log.size > 0 }
+        when {
+            whole != null -> effects += JournalEffect.HandedOver(whole.host)
+            now >= limit -> effects += JournalEffect.HandOverFailed
+            else -> return
+        }
+        handOverBy = null
+    }
+
+    private fun holder(host: HostId): HolderState? = holders.firstOrNull { it.host == host }
+
+    private companion object {
+        const val HAND_OVER_TRIES = 3
+
+        /** Lateness of a tick from which the process itself was paused. */
+        val PROCESS_PAUSE = 1.seconds
+    }
+}
