--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/EventId.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/EventId.kt
@@ -45,13 +45,13 @@
             ensure(text.length <= MAX_CHARS) { malformed("longer than $MAX_CHARS characters") }
             val fields = text.split(SEPARATOR)
             ensure(fields.size == FIELDS) { malformed("unknown form") }
-            val (version, first, second, third, fourth) = fields
-            ensure(version == VERSION) { malformed("unknown version") }
-            val generation = ensureNotNull(decode(first)) { malformed("generation") }
-            val epoch = ensureNotNull(second.toLongOrNull()) { malformed("epoch") }
-            val nonce = ensureNotNull(third.toULongOrNull(HEX)) { malformed("nonce") }
-            val host = ensureNotNull(decode(fourth)) { malformed("host") }
-            val offset = ensureNotNull(fields.last().toIntOrNull()) { malformed("offset") }
+            val rest = fields.iterator()
+            ensure(rest.next() == VERSION) { malformed("unknown version") }
+            val generation = ensureNotNull(decode(rest.next())) { malformed("generation") }
+            val epoch = ensureNotNull(rest.next().toLongOrNull()) { malformed("epoch") }
+            val nonce = ensureNotNull(rest.next().toULongOrNull(HEX)) { malformed("nonce") }
+            val host = ensureNotNull(decode(rest.next())) { malformed("host") }
+            val offset = ensureNotNull(rest.next().toIntOrNull()) { malformed("offset") }
             ensure(epoch > 0) { malformed("epoch") }
             ensure(offset >= 0) { malformed("offset") }
             val branch = BranchId(epoch, HostId(host), nonce.toLong())
