--- /dev/null
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ScheduleHost.kt
@@ -0,0 +1,62 @@
+/** One process of a random schedule. */
+package burdockspread.bench.claims
+
+import burdockspread.claim.CallOutcome
+import burdockspread.claim.ClaimAsk
+import burdockspread.claim.ClaimDecision
+import burdockspread.claim.ClaimId
+import burdockspread.claim.ClaimSettings
+import burdockspread.claim.SendPermit
+import burdockspread.claim.ShardMachine
+import burdockspread.claim.ShardStep
+import burdockspread.store.ReadResult
+import burdockspread.store.ResolvedWrite
+import kotlin.time.Instant
+
+/** A call that a host may send or has sent. */
+internal class HeldCall(val ask: ClaimAsk, val permit: SendPermit) {
+    var sent = false
+}
+
+/** A process with its shard, the step it carries out and the calls it holds. */
+internal class ScheduleHost(val process: String, settings: ClaimSettings) {
+    val machine = ShardMachine(0, process, settings)
+    val asks = HashMap<ClaimId, ClaimAsk>()
+    val held = ArrayList<HeldCall>()
+    val decided = HashMap<ClaimId, ClaimDecision>()
+    var step: ShardStep? = null
+    var result: StepResult? = null
+    var pausedUntil: Instant = Instant.DISTANT_PAST
+    private var numbers = 0
+
+    fun nextId(): ClaimId = ClaimId("$process/${++numbers}")
+
+    fun poll(now: Instant) {
+        val next = machine.poll(now)
+        step = next.takeUnless { it is ShardStep.Idle }
+    }
+
+    fun deliver(now: Instant) {
+        when (val outcome = checkNotNull(result)) {
+            is StepResult.Read -> machine.onRead(outcome.value, now)
+            is StepResult.Write -> machine.onWrite(outcome.value, now)
+            is StepResult.Delete -> machine.onDelete(now)
+        }
+        step = null
+        result = null
+    }
+
+    /** Gives a call up. Its thread still holds the permit and may wake later. */
+    fun release(call: HeldCall, now: Instant) {
+        machine.record(call.permit, CallOutcome.NotSent, now)
+    }
+}
+
+/** Result of a step that a host has yet to see. */
+internal sealed interface StepResult {
+    data class Read(val value: ReadResult) : StepResult
+
+    data class Write(val value: ResolvedWrite) : StepResult
+
+    data object Delete : StepResult
+}
--- /dev/null
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Utils.kt
@@ -0,0 +1,33 @@
+/** Helpers of the benchmark of the claims ledger. */
+package burdockspread.bench.claims
+
+import burdockspread.store.ObjectKey
+import burdockspread.store.ObjectStore
+import burdockspread.store.WriteCondition
+import burdockspread.store.WriteResult
+import burdockspread.fakes.store.FakeObjectStore
+import kotlin.coroutines.Continuation
+import kotlin.coroutines.EmptyCoroutineContext
+import kotlin.coroutines.startCoroutine
+
+/** Runs [block], which must not suspend, on the calling thread. */
+internal fun <T> runNow(block: suspend () -> T): T {
+    var result: Result<T>? = null
+    block.startCoroutine(Continuation(EmptyCoroutineContext) { result = it })
+    return checkNotNull(result) { "the block suspended" }.getOrThrow()
+}
+
+/** A store that writes whatever the condition says. */
+internal class UnconditionalStore(private val fake: FakeObjectStore) : ObjectStore by fake {
+    override suspend fun put(
+        key: ObjectKey,
+        value: String,
+        condition: WriteCondition,
+        writeId: String,
+    ): WriteResult {
+        val current = fake.peek(key)
+        val holding =
+            current?.let { WriteCondition.AtVersion(it.version) } ?: WriteCondition.Absent
+        return fake.put(key, value, holding, writeId)
+    }
+}
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimEntry.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimEntry.kt
@@ -37,14 +37,13 @@
     .build()
 
 internal fun doneRecord(
-    key: KeyHash,
-    id: ClaimId,
+    permit: SendPermit,
     done: CallOutcome.Done,
     maxAnswerBytes: Int,
 ): ClaimRecord {
     val record = ClaimRecord.newBuilder()
-        .setKeyHash(ByteString.copyFrom(key.toBytes()))
-        .setClaimId(id.value)
+        .setKeyHash(ByteString.copyFrom(permit.key.toBytes()))
+        .setClaimId(permit.claimId.value)
         .setState(ClaimRecord.State.DONE)
         .setStatus(done.status)
     return if (done.answer.size() > maxAnswerBytes) {
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/LedgerShard.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/LedgerShard.kt
@@ -39,7 +39,7 @@
     }
 
     fun record(permit: SendPermit, outcome: CallOutcome, now: Instant) {
-        update { machine.record(permit.key, permit.claimId, outcome, now) }
+        update { machine.record(permit, outcome, now) }
         work.trySend(Unit)
     }
 
@@ -80,9 +80,7 @@
         machine.cancel(ask.id, now)
         if (!decision.isCompleted) return
         val permit = (decision.getCompleted() as? ClaimDecision.Send)?.permit ?: return
-        if (permit.close()) {
-            machine.record(permit.key, permit.claimId, CallOutcome.NotSent, now)
-        }
+        machine.record(permit, CallOutcome.NotSent, now)
     }
 
     private suspend fun await(until: Instant?) {
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/RealClaimLedger.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/RealClaimLedger.kt
@@ -30,7 +30,7 @@
     }
 
     override fun record(permit: SendPermit, outcome: CallOutcome, now: Instant) {
-        if (permit.close()) shardOf(permit.key).record(permit, outcome, now)
+        shardOf(permit.key).record(permit, outcome, now)
     }
 
     override suspend fun pump(): Unit = coroutineScope {
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
@@ -48,13 +48,14 @@
         queue.settle(log.index, freshAt, now)
     }
 
-    /** Queues the outcome of a claim that this process holds. */
-    public fun record(key: KeyHash, id: ClaimId, outcome: CallOutcome, now: Instant) {
+    /** Ends [permit] and queues the outcome of its call. Later outcomes are ignored. */
+    public fun record(permit: SendPermit, outcome: CallOutcome, now: Instant) {
+        if (!permit.close()) return
         val record = when (outcome) {
-            is CallOutcome.Done -> doneRecord(key, id, outcome, settings.maxAnswerBytes)
-            is CallOutcome.NotSent -> notRunRecord(key, id)
+            is CallOutcome.Done -> doneRecord(permit, outcome, settings.maxAnswerBytes)
+            is CallOutcome.NotSent -> notRunRecord(permit.key, permit.claimId)
         }
-        queue.record(record, key, now)
+        queue.record(record, permit.key, now)
     }
 
     /** Answers that were decided since the last call. */
