--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ClaimSchedule.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ClaimSchedule.kt
@@ -37,6 +37,7 @@
     private val askedKeys = HashSet<KeyHash>()
     private var now = Instant.fromEpochSeconds(1_700_000_000)
     private var processes = 0
+    private var crashes = 0
     private val decisions = LinkedHashMap<String, Int>()
 
     /** Runs the schedule of [events] events and returns what it saw. */
@@ -154,6 +155,7 @@
         val step = host.step
         if (step != null && host.result == null && random.nextBoolean()) carryOut(step)
         hosts[hosts.indexOf(host)] = newHost()
+        crashes++
     }
 
     private fun newHost() = ScheduleHost("p${++processes}", settings)
@@ -170,9 +172,16 @@
         val last = keys.map { key -> hosts.map { lastWord(it, key) } }
         val differ = last.any { it.distinct().size > 1 }
         if (differ) invariants.violations += Violation.FINAL_DECISIONS_DIFFER
+        if (crashes == 0 && keys.indices.any { isStuck(keys[it], last[it]) }) {
+            invariants.violations += Violation.STUCK_KEY
+        }
         if (last.flatten().any { it == null }) invariants.violations += Violation.NO_DECISION
     }
 
+    /** No call was sent and each process that could have is alive, yet nobody says so. */
+    private fun isStuck(key: KeyHash, words: List<ClaimDecision?>): Boolean =
+        desk.count(key) == 0 && ClaimDecision.OutcomeUnknown in words
+
     /** An unclaimed key is claimed here; giving it up makes it "not run" for everybody. */
     private fun lastWord(host: ScheduleHost, key: KeyHash): ClaimDecision? {
         val ask = ClaimAsk(host.nextId(), key, BODY, firstSend = false, now)
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Invariants.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Invariants.kt
@@ -13,6 +13,7 @@
     SENT_AFTER_NOT_RUN,
     WRONG_ANSWER,
     NO_DECISION,
+    STUCK_KEY,
     FINAL_DECISIONS_DIFFER,
 }
 
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimQueue.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimQueue.kt
@@ -67,6 +67,9 @@
         freshAt < ask.askedAt && index[ask.key]?.let { it.outcome == null } == true
     }
 
+    /** Whether a claim that is never sent may still get in. Any newer head settles that. */
+    val hasForfeited: Boolean get() = forfeited.isNotEmpty()
+
     fun hasClaims(index: ShardIndex): Boolean = asks.values.any { index[it.key] == null }
 
     /** Records for the next write. Their claims are doubtful until it is resolved. */
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
@@ -113,7 +113,9 @@
 
     private fun nextStep(now: Instant): ShardStep {
         if (log.shardCountDiffers) return ShardStep.Idle(queue.nextDeadline)
-        val hasWork = queue.hasClaims(log.index) || queue.outcomesDue?.let { it <= now } == true
+        val hasWork = queue.hasClaims(log.index) ||
+            queue.hasForfeited ||
+            queue.outcomesDue?.let { it <= now } == true
         val read = log.missingArchive ?: log.headKey.takeIf { needsHead(hasWork, now) }
         if (read != null) return if (now < nextReadAt) idle(nextReadAt) else ShardStep.Read(read)
         retirement?.takeIf { it.lowWater <= log.lowWater }?.let {
