Check the promises of claims over random schedules

Cause: at most once must hold under any mix of faults. Change: a driver steps up to three processes on one shard with refused, lost and late calls, stale reads, outages, crashes and pauses, and checks each answer against an order desk.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ClaimSchedule.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ClaimSchedule.kt
@@ -43,8 +43,12 @@
     /** Runs the schedule of [events] events and returns what it saw. */
     fun run(events: Int): ScheduleReport {
         repeat(1 + random.nextInt(3)) { hosts += newHost() }
-        repeat(events) { event() }
-        settleAll()
+        try {
+            repeat(events) { event() }
+            settleAll()
+        } catch (e: IllegalStateException) {
+            invariants.violations += Violation.LOG_BROKEN
+        }
         return ScheduleReport(invariants.violations, decisions, desk.most(), fake.writes.get())
     }
 
@@ -166,6 +170,7 @@
         faults.healed = true
         fake.deliverLate()
         hosts.forEach { it.pausedUntil = Instant.DISTANT_PAST }
+        runAll()
         hosts.forEach { host -> host.held.toList().forEach { host.release(it, now) } }
         runAll()
         now += settings.unknownAfter * 2
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Invariants.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Invariants.kt
@@ -14,6 +14,7 @@
     WRONG_ANSWER,
     NO_DECISION,
     STUCK_KEY,
+    LOG_BROKEN,
     FINAL_DECISIONS_DIFFER,
 }
 
