Fix the number of shards in the store and answer asks in time while it hangs

Cause: a named test with another number of shards was granted a send: the head of a shard that only the new number has is missing, so its own count proves nothing. Change: a write-once layout object holds the number; a process claims nothing before it has read or created it. A second test had no answer while a store call hung, since deadlines were looked at between steps only; the ask now has its own timer.

--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimCodec.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimCodec.kt
@@ -4,6 +4,7 @@
 import burdockspread.store.ObjectKey
 import burdockspread.wire.claims.ClaimArchive
 import burdockspread.wire.claims.ClaimHead
+import burdockspread.wire.claims.ClaimLayout
 import com.google.protobuf.Message
 import com.google.protobuf.util.JsonFormat
 
@@ -14,12 +15,17 @@
     private val printer = JsonFormat.printer().omittingInsignificantWhitespace()
     private val parser = JsonFormat.parser().ignoringUnknownFields()
 
+    val layoutKey = ObjectKey(HEADS, "layout")
+
     fun headKey(shard: Int): ObjectKey = ObjectKey(HEADS, "$shard")
 
     fun archiveKey(shard: Int, first: Long): ObjectKey = ObjectKey(ARCHIVES, "$shard-$first")
 
     fun encode(message: Message): String = printer.print(message)
 
+    fun decodeLayout(text: String): ClaimLayout =
+        ClaimLayout.newBuilder().also { parser.merge(text, it) }.build()
+
     fun decodeHead(text: String): ClaimHead =
         ClaimHead.newBuilder().also { parser.merge(text, it) }.build()
 
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/LedgerShard.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/LedgerShard.kt
@@ -17,6 +17,7 @@
     private val store: ObjectStore,
     private val resolving: ResolvingStore,
     private val time: TimeSource,
+    private val settings: ClaimSettings,
 ) {
     private val lock = Any()
     private val work = Channel<Unit>(Channel.CONFLATED)
@@ -28,6 +29,8 @@
         update { machine.ask(ask, it) }
         work.trySend(Unit)
         try {
+            withTimeoutOrNull(settings.claimWait) { decision.await() }?.let { return it }
+            update { machine.expire(it) }
             return decision.await()
         } catch (e: CancellationException) {
             update { abandon(ask, decision, it) }
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/RealClaimLedger.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/RealClaimLedger.kt
@@ -2,24 +2,28 @@
 package burdockspread.claim
 
 import burdockspread.store.ObjectStore
+import burdockspread.store.ReadResult
+import burdockspread.store.ResolvedWrite
 import burdockspread.store.ResolvingStore
 import burdockspread.time.TimeSource
+import burdockspread.wire.claims.ClaimLayout
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Instant
 
 internal class RealClaimLedger(
     private val process: String,
-    store: ObjectStore,
-    resolving: ResolvingStore,
+    private val store: ObjectStore,
+    private val resolving: ResolvingStore,
     time: TimeSource,
     private val settings: ClaimSettings,
 ) : ClaimLedger {
     private val numbers = AtomicLong()
     private val shards = List(settings.shardCount) { shard ->
-        LedgerShard(ShardMachine(shard, process, settings), store, resolving, time)
+        LedgerShard(ShardMachine(shard, process, settings), store, resolving, time, settings)
     }
 
     override suspend fun claim(request: ClaimRequest, now: Instant): ClaimDecision {
@@ -34,9 +38,28 @@
     }
 
     override suspend fun pump(): Unit = coroutineScope {
+        awaitLayout()
         shards.forEach { launch { it.run() } }
     }
 
+    /** With another number of shards a key would be looked for in the wrong shard. */
+    private suspend fun awaitLayout() {
+        while (storedLayout()?.shardCount != settings.shardCount) delay(settings.retryPause)
+    }
+
+    private suspend fun storedLayout(): ClaimLayout? {
+        val key = ClaimCodec.layoutKey
+        val read = store.get(key)
+        if (read is ReadResult.Found) return ClaimCodec.decodeLayout(read.value.value)
+        val own = ClaimLayout.newBuilder().setShardCount(settings.shardCount).build()
+        val writeId = "$process/layout"
+        return when (val created = resolving.create(key, ClaimCodec.encode(own), writeId)) {
+            is ResolvedWrite.Written -> own
+            is ResolvedWrite.Lost -> created.current?.let { ClaimCodec.decodeLayout(it.value) }
+            else -> null
+        }
+    }
+
     override fun state(): ClaimLedgerState =
         ClaimLedgerState(shards.map { it.state() }.toImmutableList())
 
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardLog.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardLog.kt
@@ -42,10 +42,6 @@
                     head.bytes >= settings.windowBytes
                 )
 
-    /** Whether the head was written by a process with another number of shards. */
-    val shardCountDiffers: Boolean
-        get() = head.version > 0 && head.value.shardCount != settings.shardCount
-
     val condition: WriteCondition
         get() = if (head.version == 0L) {
             WriteCondition.Absent
@@ -107,7 +103,6 @@
             .setWrittenAtMillis(now.toEpochMilliseconds())
             .addAllRecords(records)
         return ClaimHead.newBuilder()
-            .setShardCount(settings.shardCount)
             .setLowWater(maxOf(lowWater, head.value.lowWater))
             .setWindowFirst(maxOf(head.value.windowFirst, archivedLast + 1))
             .addAllWindow(head.value.windowList.filter { it.sequence > archivedLast })
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardMachine.kt
@@ -58,6 +58,11 @@
         queue.record(record, permit.key, now)
     }
 
+    /** Answers the asks whose wait is over, also while a step is under way. */
+    public fun expire(now: Instant) {
+        queue.settle(log.index, freshAt, now)
+    }
+
     /** Answers that were decided since the last call. */
     public fun takeAnswers(): List<ClaimAnswer> = queue.takeAnswers()
 
@@ -112,7 +117,6 @@
     )
 
     private fun nextStep(now: Instant): ShardStep {
-        if (log.shardCountDiffers) return ShardStep.Idle(queue.nextDeadline)
         val hasWork = queue.hasClaims(log.index) ||
             queue.hasForfeited ||
             queue.outcomesDue?.let { it <= now } == true
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/store/FakeObjectStore.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/store/FakeObjectStore.kt
@@ -10,11 +10,13 @@
 import burdockspread.store.WriteCondition
 import burdockspread.store.WriteResult
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.flow
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 
 /** Keeps objects in memory and shows the faults that [faults] chooses. */
 public class FakeObjectStore(
@@ -26,6 +28,9 @@
     private val late = ArrayDeque<() -> Unit>()
     private val latest = MutableStateFlow(0L)
 
+    /** Time from the effect of a call to its answer. */
+    @Volatile public var answerAfter: Duration = Duration.ZERO
+
     /** Number of reads and lists so far. */
     public val reads: AtomicLong = AtomicLong()
 
@@ -34,11 +39,13 @@
 
     override suspend fun get(key: ObjectKey): ReadResult {
         reads.incrementAndGet()
-        return when (faults.next()) {
+        val result = when (faults.next()) {
             StoreFault.NONE -> read(key, objects)
             StoreFault.STALE_READ -> read(key, previous)
             else -> ReadResult.Unavailable("fake outage")
         }
+        delay(answerAfter)
+        return result
     }
 
     override suspend fun list(kind: String): ListResult {
@@ -58,7 +65,11 @@
         value: String,
         condition: WriteCondition,
         writeId: String,
-    ): WriteResult = write { apply(key, value, condition, writeId) }
+    ): WriteResult {
+        val result = write { apply(key, value, condition, writeId) }
+        delay(answerAfter)
+        return result
+    }
 
     override suspend fun delete(key: ObjectKey, condition: WriteCondition.AtVersion): WriteResult =
         write { remove(key, condition) }
