Serve a request end to end by separate processes

Cause: the thin path comes first. Change: burdock-entry with an interceptor chain, sessions that drive the generation core, event streams, whole answers, idempotent calls, health, metrics and state dump; launchers and a demo document.

--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -0,0 +1,187 @@
+/** One running entry host: wires the parts together. */
+package burdockspread.entry
+
+import arrow.core.left
+import burdockspread.call.ClaimedCalls
+import burdockspread.call.ServiceHandler
+import burdockspread.document.DocumentHolder
+import burdockspread.document.DocumentListener
+import burdockspread.document.DocumentSnapshot
+import burdockspread.drain.DrainGate
+import burdockspread.drain.DrainPhase
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.feed.DocumentFeed
+import burdockspread.generation.OpenGenerations
+import burdockspread.generation.TokenTimes
+import burdockspread.http.BodyReader
+import burdockspread.http.CallerRoutes
+import burdockspread.http.EntryServer
+import burdockspread.http.ListenAddress
+import burdockspread.http.OperatorRoutes
+import burdockspread.http.RequestParser
+import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
+import burdockspread.intercept.AuthenticationInterceptor
+import burdockspread.intercept.Interceptor
+import burdockspread.intercept.RealChain
+import burdockspread.observe.ListenerGroup
+import burdockspread.observe.LoggingListener
+import burdockspread.observe.MetricsListener
+import burdockspread.pool.TargetRouter
+import burdockspread.request.CallerRequest
+import burdockspread.request.CompletionRequest
+import burdockspread.request.RequestContext
+import burdockspread.request.RequestResult
+import burdockspread.request.ServiceRequest
+import burdockspread.settings.ExitCode
+import burdockspread.settings.toKotlin
+import burdockspread.store.http.HttpObjectStore
+import burdockspread.stream.GenerationHandler
+import burdockspread.stream.GenerationSession
+import burdockspread.stream.SessionServices
+import burdockspread.target.engine.HttpEngineClient
+import burdockspread.target.service.HttpServiceClient
+import burdockspread.wire.settings.EntrySettings
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** The parts of one entry host. [start] opens its ports, [drain] ends it gracefully. */
+internal class EntryProcess(private val settings: EntrySettings) {
+    private val host = HostId(settings.host.name)
+    private val domain = FailureDomainId(settings.host.failureDomain)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val time = MonotonicTime()
+    private val random = Random(time.now().toEpochMilliseconds() xor host.hashCode().toLong())
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val listener = ListenerGroup(MetricsListener(metrics), LoggingListener())
+    private val store =
+        HttpObjectStore(
+            settings.store.address,
+            settings.store.namespace,
+            settings.store.callTimeout.toKotlin(),
+        )
+    private val router = TargetRouter(domain, random.nextLong()) { true }
+    private val document =
+        DocumentHolder(
+            object : DocumentListener {
+                override fun applied(before: DocumentSnapshot, after: DocumentSnapshot): Unit =
+                    router.rebuild(after.view)
+            },
+        )
+    private val engines = HttpEngineClient(CONNECT_TIMEOUT)
+    private val serviceClient = HttpServiceClient(CONNECT_TIMEOUT)
+    private val open =
+        OpenGenerations<GenerationSession>(
+            settings.journal.keepFinished.toKotlin(),
+            settings.journal.maxCopiesMib.toLong() * BYTES_PER_MIB,
+        )
+    private val sessions =
+        SessionServices(scope, time, engines, router, TokenTimes(), listener)
+    private val generations = GenerationHandler(host, sessions, open, random)
+    private val calls =
+        ServiceHandler(router, serviceClient, claimedCalls(), listener, time)
+    private val gate = DrainGate(settings.callerLimits.maxOpenRequests)
+    private val interceptors =
+        persistentListOf<Interceptor>(gate, AuthenticationInterceptor(), Interceptor(::dispatch))
+    private val stopped = CompletableDeferred<ExitCode>()
+    private val state = EntryState(settings, document, router, open, gate, ::drain)
+    private val server = server()
+
+    /** Opens the ports and starts to follow the document. */
+    fun start() {
+        server.start()
+        scope.launch { DocumentFeed(store, ::take, random).run() }
+        log.info("serving callers on {}", settings.callerAddress)
+    }
+
+    /** Waits until the process has ended gracefully. */
+    suspend fun awaitStop(): ExitCode = stopped.await()
+
+    /** Begins a graceful shutdown, once. */
+    fun drain() {
+        if (gate.currentPhase != DrainPhase.SERVING) return
+        gate.advance(DrainPhase.LEAVING)
+        scope.launch {
+            log.info("leaving: {} open requests", gate.openRequests.value)
+            delay(settings.drain.notice.toKotlin())
+            gate.advance(DrainPhase.CLOSED)
+            val done =
+                withTimeoutOrNull(settings.drain.deadline.toKotlin()) {
+                    gate.openRequests.first { it == 0 }
+                }
+            stop()
+            stopped.complete(if (done == null) ExitCode.DRAIN_INCOMPLETE else ExitCode.OK)
+        }
+    }
+
+    private fun stop() {
+        server.stop()
+        engines.close()
+        serviceClient.close()
+        store.close()
+        scope.cancel()
+    }
+
+    private suspend fun serve(request: CallerRequest): RequestResult {
+        val context = RequestContext(document.view())
+        return RealChain(interceptors, 0, request, context).proceed(context)
+    }
+
+    private suspend fun dispatch(chain: Interceptor.Chain): RequestResult =
+        when (val request = chain.request) {
+            is CompletionRequest -> generations.serve(request, chain.context)
+            is ServiceRequest -> calls.serve(request, chain.context)
+        }
+
+    private fun take(value: burdockspread.store.StoredObject) {
+        val result = document.offer(value.key.name, value.version, value.value)
+        log.debug("section {} version {}: {}", value.key.name, value.version, result)
+    }
+
+    private fun claimedCalls(): ClaimedCalls = ClaimedCalls { _, _, _, _ ->
+        Refusal(ErrorCode.CLAIM_UNAVAILABLE, "claims are not served yet").left()
+    }
+
+    private fun server(): EntryServer {
+        val limits = settings.callerLimits
+        val bodies =
+            BodyReader(limits.maxBodyKib * BYTES_PER_KIB, limits.requestTimeout.toKotlin())
+        val callers =
+            CallerRoutes(
+                RequestParser(bodies),
+                gate,
+                listener,
+                time,
+                limits.writeTimeout.toKotlin(),
+                ::serve,
+            )
+        return EntryServer(
+            ListenAddress.parse(settings.callerAddress),
+            ListenAddress.parse(settings.operatorAddress),
+            limits.idleTimeout.toKotlin(),
+            callers,
+            OperatorRoutes(state, gate, metrics),
+        )
+    }
+
+    private companion object {
+        const val BYTES_PER_KIB = 1_024
+        const val BYTES_PER_MIB = 1_048_576L
+        val CONNECT_TIMEOUT = 1.seconds
+        val log = LogManager.getLogger(EntryProcess::class.java)
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/AnswerFormat.kt
@@ -0,0 +1,41 @@
+/** Answers in the form of the completion API that the caller used. */
+package burdockspread.http
+
+import burdockspread.id.GenerationId
+import burdockspread.target.engine.CompletionApi
+import burdockspread.target.engine.CompletionBody
+
+/** Formats the answer to [body] by the generation [id]. */
+internal class AnswerFormat(private val body: CompletionBody, private val id: GenerationId) {
+    /** One chunk of a streamed answer. */
+    fun chunk(text: String, finishReason: String?): String = when (body.api) {
+        CompletionApi.COMPLETIONS ->
+            encode("text_completion", ChoiceJson(text = text, finishReason = finishReason))
+        CompletionApi.CHAT -> {
+            val delta = MessageJson(content = text)
+            val choice = ChoiceJson(delta = delta, finishReason = finishReason)
+            encode("chat.completion.chunk", choice)
+        }
+    }
+
+    /** A whole answer of [tokens] tokens. */
+    fun whole(text: String, finishReason: String, tokens: Int): String {
+        val usage = UsageJson(tokens)
+        return when (body.api) {
+            CompletionApi.COMPLETIONS -> {
+                val choice = ChoiceJson(text = text, finishReason = finishReason)
+                encode("text_completion", choice, usage)
+            }
+            CompletionApi.CHAT -> {
+                val message = MessageJson("assistant", text)
+                val choice = ChoiceJson(message = message, finishReason = finishReason)
+                encode("chat.completion", choice, usage)
+            }
+        }
+    }
+
+    private fun encode(kind: String, choice: ChoiceJson, usage: UsageJson? = null): String {
+        val value = CompletionJson(id.value, kind, body.model.value, listOf(choice), usage)
+        return callerJson.encodeToString(value)
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
@@ -0,0 +1,107 @@
+/** The HTTP server of an entry host: one port for callers, one for operators. */
+package burdockspread.http
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.id.RequestId
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.install
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.plugins.statuspages.StatusPages
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.RouteSelector
+import io.ktor.server.routing.RouteSelectorEvaluation
+import io.ktor.server.routing.RoutingResolveContext
+import io.ktor.server.routing.routing
+import org.apache.logging.log4j.LogManager
+import kotlin.time.Duration
+
+/** IP address and port that a server listens on. */
+internal data class ListenAddress(val host: String, val port: Int) {
+    companion object {
+        /** Reads `IP:port`, which the settings check has accepted. */
+        fun parse(text: String): ListenAddress =
+            ListenAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+    }
+}
+
+/** Serves both ports with one engine, so that they share their threads. */
+internal class EntryServer(
+    private val caller: ListenAddress,
+    private val operator: ListenAddress,
+    private val idleTimeout: Duration,
+    private val callerRoutes: CallerRoutes,
+    private val operatorRoutes: OperatorRoutes,
+) {
+    private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+        embeddedServer(Netty, configure = { configure() }) { module() }
+
+    /** Opens both ports and returns at once. */
+    fun start() {
+        server.start(wait = false)
+    }
+
+    /** Closes both ports and cuts what is still open. */
+    fun stop() {
+        server.stop(0, 0)
+    }
+
+    private fun NettyApplicationEngine.Configuration.configure() {
+        listOf(caller, operator).forEach { address ->
+            connector {
+                host = address.host
+                port = address.port
+            }
+        }
+        responseWriteTimeoutSeconds = 0
+        channelPipelineConfig = {
+            addAfter(HTTP_CODEC, "idle", IdleConnectionHandler(idleTimeout))
+        }
+    }
+
+    private fun Application.module() {
+        install(StatusPages) {
+            unhandled { callerRoutes.refusePath(it) }
+            exception<Throwable> { call, cause -> fault(call, cause) }
+        }
+        routing {
+            onPort(caller.port) {
+                callerRoutes.install(this)
+                operatorRoutes.installHealth(this)
+            }
+            onPort(operator.port) { operatorRoutes.install(this) }
+        }
+    }
+
+    private suspend fun fault(call: ApplicationCall, cause: Throwable) {
+        if (cause is java.io.IOException) return
+        log.error("request failed", cause)
+        val refusal = Refusal(ErrorCode.INTERNAL, "internal fault")
+        callerRoutes.refuse(call, RequestId("unknown"), refusal)
+    }
+
+    private fun Route.onPort(port: Int, build: Route.() -> Unit) {
+        createChild(PortSelector(port)).build()
+    }
+
+    private class PortSelector(private val port: Int) : RouteSelector() {
+        override suspend fun evaluate(
+            context: RoutingResolveContext,
+            segmentIndex: Int,
+        ): RouteSelectorEvaluation = if (context.call.request.local.localPort == port) {
+            RouteSelectorEvaluation.Transparent
+        } else {
+            RouteSelectorEvaluation.Failed
+        }
+    }
+
+    private companion object {
+        const val HTTP_CODEC = "codec"
+        val log = LogManager.getLogger(EntryServer::class.java)
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/EventStream.kt
@@ -0,0 +1,67 @@
+/** Writes an answer as server-sent events. */
+package burdockspread.http
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.id.RequestId
+import burdockspread.journal.EventId
+import burdockspread.stream.AnswerEnd
+import burdockspread.stream.AnswerPart
+import burdockspread.stream.AnswerReader
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+
+/**
+ * Writes one answer. The `id` of each event names the generation, its continuation and the offset,
+ * with which the caller can return for the rest by `Last-Event-ID`.
+ */
+internal class EventStream(
+    private val out: ByteWriteChannel,
+    private val format: AnswerFormat,
+    private val request: RequestId,
+    private val writeTimeout: Duration,
+) {
+    /** Writes all parts of [reader]; false when the caller read too slowly. */
+    suspend fun write(reader: AnswerReader): Boolean {
+        var inTime = true
+        if (reader.restarted) inTime = send(restart(reader))
+        reader.parts().collect { part ->
+            if (inTime) inTime = send(text(part))
+        }
+        return inTime
+    }
+
+    private suspend fun send(text: String): Boolean = withTimeoutOrNull(writeTimeout) {
+        out.writeStringUtf8(text)
+        out.flush()
+    } != null
+
+    private fun text(part: AnswerPart): String = when (part) {
+        is AnswerPart.Tokens -> {
+            val chunk = format.chunk(part.tokens.joinToString(""), null)
+            event(part.event, chunk)
+        }
+        is AnswerPart.End -> end(part.event, part.end)
+    }
+
+    private fun end(id: EventId, end: AnswerEnd): String = when (end) {
+        is AnswerEnd.Whole ->
+            event(id, format.chunk("", end.reason.wireName)) + "data: [DONE]\n\n"
+        is AnswerEnd.Broken -> "event: error\ndata: ${errorJson(end.refusal, request)}\n\n"
+    }
+
+    private fun restart(reader: AnswerReader): String {
+        val data = callerJson.encodeToString(RestartJson(reader.generation.value, reader.offset))
+        return "event: restart\ndata: $data\n\n"
+    }
+
+    private fun event(id: EventId, data: String): String = "id: ${id.format()}\ndata: $data\n\n"
+
+    companion object {
+        /** The failure of a caller that read too slowly. */
+        val SLOW_READER: Refusal =
+            Refusal(ErrorCode.SLOW_READER, "the caller read too slowly; return for the rest")
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/IdleConnectionHandler.kt
@@ -0,0 +1,34 @@
+/** Closes connections on which nothing happens. */
+package burdockspread.http
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.handler.timeout.IdleStateHandler
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/**
+ * Closes a connection that was idle for [timeout] while no answer is owed on it. It also ends
+ * connections that never send a whole request head.
+ */
+internal class IdleConnectionHandler(timeout: Duration) :
+    IdleStateHandler(0, 0, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS) {
+    private var answersOwed = 0
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message is HttpRequest) answersOwed++
+        super.channelRead(context, message)
+    }
+
+    override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (message is LastHttpContent) answersOwed--
+        super.write(context, message, promise)
+    }
+
+    override fun channelIdle(context: ChannelHandlerContext, event: IdleStateEvent) {
+        if (answersOwed <= 0) context.close()
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
@@ -0,0 +1,158 @@
+/** Runs the attempts of one generation at engines. */
+package burdockspread.stream
+
+import burdockspread.generation.FailureCause
+import burdockspread.generation.FinishReason
+import burdockspread.generation.GenerationEffect
+import burdockspread.generation.GenerationInput
+import burdockspread.id.AttemptNumber
+import burdockspread.observe.GenerationTag
+import burdockspread.pool.Route
+import burdockspread.pool.poolOf
+import burdockspread.route.FlightFailure
+import burdockspread.route.PromptBlocks
+import burdockspread.route.RouteRequest
+import burdockspread.target.engine.EngineCall
+import burdockspread.target.engine.EngineEvent
+import burdockspread.target.engine.EngineFailure
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+
+/** Opens and cancels attempts, and turns what engines say into inputs of the core. */
+internal class AttemptRunner(
+    private val services: SessionServices,
+    private val request: SessionRequest,
+    private val tag: GenerationTag,
+    private val inputs: SendChannel<GenerationInput>,
+) {
+    private val jobs = ConcurrentHashMap<AttemptNumber, Job>()
+
+    private val blocks = PromptBlocks.ofText(request.body.promptText, request.version)
+
+    /** Number of attempts so far. */
+    @Volatile
+    var opened: Int = 0
+        private set
+
+    /** Starts the attempt of [effect]. */
+    fun open(effect: GenerationEffect.OpenAttempt) {
+        opened++
+        jobs[effect.attempt] =
+            services.scope.launch {
+                run(effect)
+                jobs.remove(effect.attempt)
+            }
+    }
+
+    /** Cancels [attempt], at the engine too. */
+    fun cancel(attempt: AttemptNumber) {
+        jobs.remove(attempt)?.cancel()
+    }
+
+    /** Cancels all attempts that still run. */
+    fun cancelAll() {
+        jobs.keys.forEach(::cancel)
+    }
+
+    private suspend fun run(effect: GenerationEffect.OpenAttempt) {
+        val now = services.time.now()
+        services.router.route(poolOf(request.spec.model), routeRequest(effect), now).fold(
+            { failed(effect.attempt, null, FailureCause.NO_TARGET) },
+            { send(effect, it) },
+        )
+    }
+
+    private fun routeRequest(effect: GenerationEffect.OpenAttempt): RouteRequest = RouteRequest(
+        priorityLevel = request.priorityLevel,
+        promptTokens = request.body.promptText.length / CHARS_PER_TOKEN + effect.prefix.size,
+        blocks = blocks,
+        version = request.version,
+        avoid = effect.avoid,
+    )
+
+    private suspend fun send(effect: GenerationEffect.OpenAttempt, route: Route) {
+        val target = route.target.id
+        services.listener.attemptOpened(tag, effect.attempt, target, effect.prefix.size)
+        inputs.send(GenerationInput.Opened(effect.attempt, target))
+        val call =
+            EngineCall(
+                route.target.address,
+                request.body,
+                effect.prefix,
+                effect.maxTokens,
+                request.priorityLevel,
+            )
+        val relay = AttemptRelay(effect, route)
+        try {
+            services.engines.generate(call).collect { relay.on(it) }
+        } catch (e: CancellationException) {
+            route.flight.onFailed(FlightFailure.CANCELLED, services.time.now())
+            throw e
+        }
+    }
+
+    private suspend fun failed(
+        attempt: AttemptNumber,
+        target: burdockspread.id.TargetId?,
+        cause: FailureCause,
+    ) {
+        services.listener.attemptFailed(tag, attempt, target, cause.name)
+        inputs.send(GenerationInput.Failed(attempt, cause))
+    }
+
+    /** Passes the events of one attempt on. */
+    private inner class AttemptRelay(
+        private val effect: GenerationEffect.OpenAttempt,
+        private val route: Route,
+    ) {
+        private val attempt = effect.attempt
+        private var delivered = false
+
+        suspend fun on(event: EngineEvent) {
+            when (event) {
+                is EngineEvent.Opened -> Unit
+                is EngineEvent.Tokens -> tokens(event)
+                is EngineEvent.Finished -> finished(event)
+                is EngineEvent.Failed -> broken(event)
+            }
+        }
+
+        private suspend fun tokens(event: EngineEvent.Tokens) {
+            val now = services.time.now()
+            if (!delivered) route.flight.onFirstToken(now, event.cachedPromptTokens)
+            delivered = true
+            route.flight.onTokens(event.tokens.size, now)
+            val offset = effect.prefix.size + event.offset
+            inputs.send(GenerationInput.Tokens(attempt, offset, event.tokens))
+        }
+
+        private suspend fun finished(event: EngineEvent.Finished) {
+            route.flight.onDone(services.time.now())
+            val reason = FinishReason.ofWireName(event.reason) ?: FinishReason.STOP
+            val total = effect.prefix.size + event.totalTokens
+            inputs.send(GenerationInput.Finished(attempt, reason, total))
+        }
+
+        private suspend fun broken(event: EngineEvent.Failed) {
+            val unreachable = event.cause == EngineFailure.UNREACHABLE
+            val failure = if (unreachable) FlightFailure.NOT_CONNECTED else FlightFailure.BROKEN
+            route.flight.onFailed(failure, services.time.now())
+            failed(attempt, route.target.id, causeOf(event.cause))
+        }
+
+        private fun causeOf(failure: EngineFailure): FailureCause = when (failure) {
+            EngineFailure.UNREACHABLE -> FailureCause.NOT_CONNECTED
+            EngineFailure.CONNECTION_LOST -> FailureCause.CONNECTION_LOST
+            EngineFailure.OVERLOADED -> FailureCause.OVERLOADED
+            EngineFailure.REJECTED -> FailureCause.REJECTED
+            EngineFailure.ENGINE_FAULT -> FailureCause.CONNECTION_LOST
+        }
+    }
+
+    private companion object {
+        const val CHARS_PER_TOKEN = 4
+    }
+}
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/Main.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/Main.kt
@@ -12,6 +12,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
+import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -20,6 +21,9 @@
     StandIns().subcommands(ObjectApi(), Engine(), OrderDesk()).main(args)
 }
 
+/** The servers' threads do not keep the process alive; only a signal ends it. */
+private fun awaitSignal(): Unit = CountDownLatch(1).await()
+
 private class StandIns : CliktCommand("stand-in") {
     override fun run() = Unit
 }
@@ -29,6 +33,7 @@
 
     override fun run() {
         ObjectApiServer(port).start()
+        awaitSignal()
     }
 }
 
@@ -50,6 +55,7 @@
                 salt = salt,
             )
         EngineServer(port, options).start()
+        awaitSignal()
     }
 }
 
@@ -59,5 +65,6 @@
 
     override fun run() {
         OrderDeskServer(port, workMillis.milliseconds).start()
+        awaitSignal()
     }
 }
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/engine/TextModel.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/engine/TextModel.kt
@@ -2,7 +2,7 @@
 package burdockspread.fakes.engine
 
 /**
- * Generates text such that continuing from a prompt plus the first tokens of an answer gives the rest
+ * Generates text such that going on from a prompt plus the first tokens of an answer gives the rest
  * of the same answer. A [salt] makes different engines give different answers, as sampling does.
  */
 public class TextModel(private val salt: String = "") {
