--- a/burdock-settings/src/main/kotlin/burdockspread/settings/SettingsRules.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/SettingsRules.kt
@@ -2,6 +2,7 @@
 package burdockspread.settings
 
 import burdockspread.json.JsonProblem
+import com.google.common.net.InetAddresses
 import com.google.protobuf.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,15 +45,12 @@
     }
 
     private fun isAddress(value: String): Boolean {
-        val match = ADDRESS.matchEntire(value) ?: return false
-        val (a, b, c, d, port) = match.destructured
-        val octets = listOf(a, b, c, d).map { it.toInt() }
-        return octets.all { it in OCTETS } && port.toInt() in PORTS
+        val ip = value.substringBeforeLast(':', "")
+        val port = value.substringAfterLast(':', "").toIntOrNull() ?: return false
+        return port in PORTS && InetAddresses.isUriInetAddress(ip)
     }
 
     private companion object {
-        val ADDRESS = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})""")
-        val OCTETS = 0..255
         val PORTS = 1..65_535
     }
 }
