--- /dev/null
+++ b/burdock-duty-core/src/test/kotlin/burdockspread/duty/DutySetTest.kt
@@ -0,0 +1,75 @@
+/** Tests of the choice of candidates. */
+package burdockspread.duty
+
+import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
+import burdockspread.store.ResolvedWrite
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class DutySetTest {
+    private val now = Instant.fromEpochSeconds(1_000_000)
+    private val candidates = List(56) {
+        Candidate(HostId("h$it"), FailureDomainId("d${it / 14}"))
+    }
+
+    @Test
+    fun `duties spread evenly and those of a failure domain stay in it`() {
+        val duties = List(560) { Duty.claims(it) }
+        val perHost = duties.groupingBy { rendezvousOrder(it, candidates).first() }.eachCount()
+        assertEquals(56, perHost.size)
+        assertTrue(perHost.values.max() <= 24, "${perHost.values.max()}")
+        val relay = Duty.relay(FailureDomainId("d2"))
+        assertTrue(rendezvousOrder(relay, candidates).all { it.domain.value == "d2" })
+    }
+
+    @Test
+    fun `only the first two in line ask the store`() {
+        val duty = Duty.claims(1)
+        val asking = candidates.filter { set(it.host, duty).tick(now).isNotEmpty() }
+        assertEquals(rendezvousOrder(duty, candidates).take(2).toSet(), asking.toSet())
+    }
+
+    @Test
+    fun `a host that left the candidates hands over what it holds`() {
+        val duty = Duty.claims(1)
+        val set = set(rendezvousOrder(duty, candidates).first().host, duty)
+        hold(set, duty)
+        set.onCandidates(persistentListOf())
+        val (lost, write) = set.tick(now + 1.seconds)
+        assertEquals(LossReason.RELEASED, assertIs<LeaseEffect.Lost>(lost).reason)
+        assertNull(assertIs<LeaseEffect.Write>(write).record.holder)
+        assertNull(set.held(duty, now + 1.seconds))
+    }
+
+    @Test
+    fun `the snapshot for other threads ends by its deadline without a tick`() {
+        val duty = Duty.claims(1)
+        val set = set(rendezvousOrder(duty, candidates).first().host, duty)
+        hold(set, duty)
+        assertNotNull(set.held(duty, now + 12.seconds))
+        assertNull(set.held(duty, now + 13.seconds))
+    }
+
+    private fun set(host: HostId, duty: Duty): DutySet =
+        DutySet.factory.create(CandidateId(host, 1), LeaseSettings()).also {
+            it.onDuties(persistentListOf(duty))
+            it.onCandidates(candidates.toImmutableList())
+        }
+
+    private fun hold(set: DutySet, duty: Duty) {
+        assertIs<LeaseEffect.Read>(set.tick(now).single())
+        val write = set.onRead(duty, LeaseRead.Missing, now).single()
+        assertIs<LeaseEffect.Write>(write)
+        set.onWritten(duty, write.writeId, ResolvedWrite.Written(1), now)
+        assertNotNull(set.held(duty, now))
+    }
+}
--- a/burdock-spread-core/src/test/kotlin/burdockspread/membership/MembershipTest.kt
+++ b/burdock-spread-core/src/test/kotlin/burdockspread/membership/MembershipTest.kt
@@ -30,7 +30,7 @@
         hosts.forEach { tell(it, cores.getValue(it).start(1_000, now)) }
     }
 
-    /** Brings what [from] publishes, and what that causes, to the hosts for which [reaches] holds. */
+    /** Brings what [from] publishes, and what that causes, to the hosts that it [reaches]. */
     private fun tell(
         from: HostId,
         effects: List<MembershipEffect>,
