--- a/burdock-document-core/src/main/kotlin/burdockspread/document/CanonicalJson.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/CanonicalJson.kt
@@ -6,11 +6,15 @@
 
 /** Writes sections with a fixed order of their elements. */
 public object CanonicalJson {
+    /** [section] at [version] with all elements in order of their names. */
+    public fun normalise(section: Section, version: Long): Section =
+        section.sorted().setVersion(version).build()
+
     /** One line of JSON for [section] at [version]. */
     public fun write(section: Section, version: Long): String =
-        SchemaJson.writeLine(section.sorted().setVersion(version).build())
+        SchemaJson.writeLine(normalise(section, version))
 
     /** Indented JSON for people, with the version that an edit has to start from. */
     public fun writeIndented(section: Section, version: Long): String =
-        SchemaJson.write(section.sorted().setVersion(version).build())
+        SchemaJson.write(normalise(section, version))
 }
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentChecker.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentChecker.kt
@@ -9,27 +9,22 @@
     /** All problems between [sections], each of which has passed the [SectionReader]. */
     public fun check(sections: Collection<SectionBody>): List<DocumentProblem> {
         val problems = ArrayList<DocumentProblem>()
-        checkOwners(sections, problems)
+        checkListed(sections, problems)
         checkDuplicates(sections, problems)
         checkReferences(sections, problems)
         return problems
     }
 
-    private fun checkOwners(
+    private fun checkListed(
         sections: Collection<SectionBody>,
         problems: MutableList<DocumentProblem>,
     ) {
-        val owners = sections.filter { it.name == ROOT }
+        val listed = sections.filter { it.name == ROOT }
             .flatMap { it.owners }
-            .associate { it.section to it.owner }
+            .mapTo(HashSet()) { it.section }
         for (section in sections) {
-            val owner = owners[section.name]
-            if (owner == null) {
-                problems += DocumentProblem(section.name, "name", "section $ROOT does not list it")
-            } else if (owner != section.owner) {
-                val message = "\"${section.owner}\" differs from \"$owner\" in section $ROOT"
-                problems += DocumentProblem(section.name, "owner", message)
-            }
+            if (section.name in listed) continue
+            problems += DocumentProblem(section.name, "name", "section $ROOT does not list it")
         }
     }
 
