Relay accepted sections from the store to hosts and prove that none goes back

Cause: a plain watch by every host costs a call and a whole section for each host; an old relay, replica or peer may bring old sections. Two hosts of each failure domain, by rendezvous hash, follow the manifest; a content counts only once the manifest names it. After an outage a relay reads the manifest and the contents it lacks, after a wait that differs by host.

--- a/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentHolder.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentHolder.kt
@@ -1,6 +1,7 @@
 /** Holds the document of one host and takes sections from whoever brings them. */
 package burdockspread.document
 
+import arrow.core.nonEmptyListOf
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -32,6 +33,16 @@
         )
     }
 
+    /** Takes a section as peers pass it on. */
+    public fun offer(entry: VersionedEntry): OfferResult {
+        val held = current.get().held(entry.section)?.version ?: 0
+        if (entry.version <= held) return OfferResult.Stale(held)
+        val json = entry.json()
+        if (json != null) return offer(entry.section, entry.version, json)
+        val problem = DocumentProblem(entry.section, "", "the value is not compressed text")
+        return OfferResult.Invalid(nonEmptyListOf(problem))
+    }
+
     private fun offer(section: HeldSection): OfferResult {
         while (true) {
             val before = current.get()
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentSnapshot.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentSnapshot.kt
@@ -1,8 +1,10 @@
 /** What one host knows of the document at one moment. */
 package burdockspread.document
 
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
 
 /**
  * Immutable state of the document on one host.
@@ -22,6 +24,14 @@
         waiting.mapVersions(),
     )
 
+    /** The held version of every section as peers take it, for a host that has none. */
+    public fun entries(): ImmutableList<VersionedEntry> = inForce.putAll(waiting).values
+        .map { VersionedEntry.of(it.name, it.version, it.json) }
+        .toImmutableList()
+
+    /** Canonical JSON of [section] in force; null when it is not known or was removed. */
+    public fun json(section: String): String? = inForce[section]?.json?.takeIf { it.isNotEmpty() }
+
     internal fun held(section: String): HeldSection? = waiting[section] ?: inForce[section]
 
     public companion object {
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/OfferResult.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/OfferResult.kt
@@ -19,7 +19,4 @@
 
     /** The text is not a section and was dropped; the others stay in force. */
     public data class Invalid(public val problems: NonEmptyList<DocumentProblem>) : OfferResult
-
-    /** A difference starts from another version than the host holds; ask for the whole section. */
-    public data class BaseMissing(public val held: Long) : OfferResult
 }
--- /dev/null
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayChoice.kt
@@ -0,0 +1,36 @@
+/** Chooses the hosts that watch the store. */
+package burdockspread.document.relay
+
+import burdockspread.id.HostId
+import java.util.zip.CRC32C
+import kotlin.time.Duration
+
+/**
+ * Chooses a few hosts of each failure domain by rendezvous hashing over those believed live.
+ *
+ * Hosts that disagree on who is live only cost more or fewer watches: sections carry versions, so
+ * it does no harm when several hosts bring the same ones.
+ */
+public object RelayChoice {
+    /** Hosts of a failure domain that watch the store, so that the loss of one goes unnoticed. */
+    public const val RELAYS_PER_DOMAIN: Int = 2
+
+    /** Whether [self] watches the store, given the [live] hosts of its failure domain. */
+    public fun isRelay(self: HostId, live: Collection<HostId>): Boolean {
+        val hosts = (live + self).distinct()
+        val chosen = hosts.sortedWith(compareBy({ hash(it.value) }, { it.value }))
+        return self in chosen.take(RELAYS_PER_DOMAIN)
+    }
+
+    /** A wait below [window] that differs between hosts and tries but not between runs. */
+    public fun jitter(self: HostId, attempt: Int, window: Duration): Duration =
+        window * (hash("${self.value}#$attempt").toDouble() / HASH_RANGE)
+
+    private fun hash(text: String): Long {
+        val crc = CRC32C()
+        crc.update(text.encodeToByteArray())
+        return crc.value
+    }
+
+    private const val HASH_RANGE = 4_294_967_296.0
+}
--- /dev/null
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayEffect.kt
@@ -0,0 +1,14 @@
+/** Effects of the relay's decisions. */
+package burdockspread.document.relay
+
+import burdockspread.document.VersionedEntry
+import burdockspread.store.ObjectKey
+
+/** What the shell of a relay has to do. */
+public sealed interface RelayEffect {
+    /** Take the section on this host and pass it on. */
+    public data class Publish(public val entry: VersionedEntry) : RelayEffect
+
+    /** Read a content that the manifest names and the watch did not bring. */
+    public data class Fetch(public val key: ObjectKey) : RelayEffect
+}
