--- a/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealTokenTimes.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealTokenTimes.kt
@@ -48,19 +48,23 @@
         val key = TargetModel(target, model)
         val found = pairs[key]
         if (found != null || pairs.size >= maxPairs) return found
-        return pairs.computeIfAbsent(key) { Times() }
+        return pairs.computeIfAbsent(key) { Times(TARGET_WINDOW) }
     }
 
-    private fun ofModel(model: ModelId): Times = models.computeIfAbsent(model) { Times() }
+    private fun ofModel(model: ModelId): Times = models.computeIfAbsent(model) {
+        Times(MODEL_WINDOW)
+    }
 
     private data class TargetModel(val target: TargetId, val model: ModelId)
 
-    private class Times {
-        val first = TimeEstimate()
-        val between = TimeEstimate()
+    private class Times(window: Int) {
+        val first = TimeEstimate(window)
+        val between = TimeEstimate(window)
     }
 
     private companion object {
         const val MODEL_FACTOR = 3
+        const val TARGET_WINDOW = 32
+        const val MODEL_WINDOW = 255
     }
 }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/generation/TimeEstimate.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/TimeEstimate.kt
@@ -7,50 +7,56 @@
 import kotlin.time.Duration.Companion.microseconds
 
 /**
- * Mean and mean deviation of recent times, packed into one word and updated by compare-and-set.
+ * Mean and mean deviation over about the last [window] times (at most 255).
  *
- * A single time counts for at most a small multiple of the estimate, so that one freeze does not
- * raise the limit for the next one.
+ * Both are kept in one word with the number of times seen, and updated by compare-and-set. A single
+ * time counts for at most a small multiple of the estimate, so that one freeze does not raise the
+ * limit for the next one.
  */
-internal class TimeEstimate {
+internal class TimeEstimate(private val window: Int) {
     private val packed = AtomicLong(EMPTY)
 
     fun record(time: Duration) {
-        val sample = time.inWholeMicroseconds.coerceAtLeast(1).toFloat()
+        val sample = time.inWholeMicroseconds.coerceIn(1, MASK)
         do {
             val old = packed.get()
-            val next = if (old == EMPTY) pack(sample, sample / 2) else updated(old, sample)
+            val next = if (old == EMPTY) pack(1, sample, sample / 2) else updated(old, sample)
         } while (!packed.compareAndSet(old, next))
     }
 
     fun usual(): Duration? {
         val now = packed.get()
-        if (now == EMPTY) return null
-        return (mean(now) + DEVIATIONS * deviation(now)).toLong().microseconds
+        return if (now == EMPTY) null else (mean(now) + DEVIATIONS * deviation(now)).microseconds
     }
 
-    private fun updated(old: Long, sample: Float): Long {
+    private fun updated(old: Long, sample: Long): Long {
         val mean = mean(old)
         val deviation = deviation(old)
+        val count = (count(old) + 1).coerceAtMost(window.toLong())
         val clipped = sample.coerceAtMost(CLIP_MEANS * mean + CLIP_DEVIATIONS * deviation)
         val error = clipped - mean
-        return pack(mean + error * GAIN, deviation + (abs(error) - deviation) * GAIN)
+        return pack(count, mean + error / count, deviation + (abs(error) - deviation) / count)
     }
 
     private companion object {
         const val EMPTY = 0L
-        const val GAIN = 1f / 32
-        const val DEVIATIONS = 2f
-        const val CLIP_MEANS = 4f
-        const val CLIP_DEVIATIONS = 4f
-        const val LOW_BITS = 0xFFFF_FFFFL
+        const val DEVIATIONS = 2
+        const val CLIP_MEANS = 4
+        const val CLIP_DEVIATIONS = 4
 
-        fun pack(mean: Float, deviation: Float): Long =
-            mean.toRawBits().toLong() shl Int.SIZE_BITS or
-                (deviation.toRawBits().toLong() and LOW_BITS)
+        /** Bits of the mean and of the deviation, in microseconds up to 268 s. */
+        const val FIELD_BITS = 28
+        const val MASK = (1L shl FIELD_BITS) - 1
 
-        fun mean(packed: Long): Float = Float.fromBits((packed ushr Int.SIZE_BITS).toInt())
+        fun pack(count: Long, mean: Long, deviation: Long): Long =
+            (count shl FIELD_BITS + FIELD_BITS) or
+                (mean.coerceIn(1, MASK) shl FIELD_BITS) or
+                deviation.coerceIn(0, MASK)
 
-        fun deviation(packed: Long): Float = Float.fromBits(packed.toInt())
+        fun count(packed: Long): Long = packed ushr FIELD_BITS + FIELD_BITS
+
+        fun mean(packed: Long): Long = packed ushr FIELD_BITS and MASK
+
+        fun deviation(packed: Long): Long = packed and MASK
     }
 }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
@@ -32,12 +32,14 @@
 
     override fun handle(input: JournalInput, now: Instant): List<JournalEffect> {
         if (superseded) return emptyList()
+        val awake = nextDeadline()?.let { now - it <= PROCESS_PAUSE } ?: true
+        if (!awake) askAgain(now)
         when (input) {
             is JournalInput.Grown -> Unit
             is JournalInput.Finished -> finish = input.reason
             is JournalInput.Holders -> changeHolders(input.hosts)
             is JournalInput.Answered -> answered(input.holder, input.outcome, now)
-            is JournalInput.Unreachable -> holder(input.holder)?.let { unusable(it, now) }
+            is JournalInput.Unreachable -> if (awake) unreachable(input.holder, now)
             is JournalInput.Tick -> tick(now)
             is JournalInput.HandOver -> handOver(now)
         }
@@ -119,25 +121,26 @@
         holder.notBefore = now + policy.retryInterval
     }
 
-    private fun tick(now: Instant) {
-        val due = nextDeadline() ?: return
-        val awake = now - due <= PROCESS_PAUSE
-        holders.filter { it.sentAt != null }.forEach { checkAnswer(it, awake, now) }
-    }
-
     /**
-     * After a pause of this process, silence says nothing about the holder: it is asked again, and
-     * nothing is released before it had its time to say that another host has taken over.
+     * After a pause of this process, silence says nothing about the holders: they are asked again,
+     * and nothing is released before they had their time to say that another host has taken over.
      */
-    private fun checkAnswer(holder: HolderState, awake: Boolean, now: Instant) {
-        val sentAt = holder.sentAt ?: return
-        when {
-            !awake -> {
-                holder.sentAt = null
-                holder.notBefore = now
-            }
-            now >= sentAt + policy.ackTimeout -> unusable(holder, now)
+    private fun askAgain(now: Instant) {
+        holders.filter { it.sentAt != null }.forEach {
+            it.sentAt = null
+            it.notBefore = now
+        }
+    }
+
+    private fun unreachable(host: HostId, now: Instant) {
+        holder(host)?.let { unusable(it, now) }
+    }
+
+    private fun tick(now: Instant) {
+        val silent = holders.filter { holder ->
+            holder.sentAt?.let { now >= it + policy.ackTimeout } == true
         }
+        silent.forEach { unusable(it, now) }
     }
 
     private fun changeHolders(hosts: List<HostId>) {
