--- /dev/null
+++ b/burdock-generation-core/src/test/kotlin/burdockspread/journal/World.kt
@@ -0,0 +1,150 @@
+package burdockspread.journal
+
+import burdockspread.generation.ChainedEngine
+import burdockspread.generation.FinishReason
+import burdockspread.generation.TokenLog
+import burdockspread.id.FailureDomainId
+import burdockspread.id.GenerationId
+import burdockspread.id.HostId
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A generation that runs on one host; its engine differs from every other run's. */
+class Run(val host: WorldHost, val key: CopyKey, val lineage: Lineage, val log: TokenLog, id: Int) {
+    val engine = ChainedEngine(id, log.slice(0))
+    var finish: FinishReason? = null
+    var finishReleased = false
+    val journal = OwnerJournal(key, lineage, log, "{}", START, World.POLICY)
+
+    fun sighting() = Sighting.Running(host.place.host, key, lineage, log.size, finish)
+}
+
+class WorldHost(val place: HostPlace) {
+    var copies = JournalCopies(CopyLimits(1_000_000))
+    val runs = ArrayList<Run>()
+    var paused = false
+
+    fun runOf(request: RequestKey) = runs.lastOrNull { it.key.request == request }
+
+    /** The host is replaced by one of the same name that knows nothing. */
+    fun replace() {
+        copies = JournalCopies(CopyLimits(1_000_000))
+        runs.clear()
+        paused = false
+    }
+}
+
+/** Hosts in three domains, with messages that are late, lost by cuts, or wait for a paused host. */
+class World(val random: Random) {
+    val hosts = (0 until 6).map { WorldHost(place(it)) }
+    private val messages = ArrayList<Message>()
+    private val order = HolderOrder(hosts.map { it.place }, "r")
+    private var ids = 0
+    private var cut: FailureDomainId? = null
+    var now = START
+
+    private class Message(val from: WorldHost, val to: WorldHost, val deliver: () -> Unit)
+
+    fun host(id: HostId) = hosts.first { it.place.host == id }
+
+    fun linked(a: WorldHost, b: WorldHost) =
+        a.place.domain == b.place.domain || a.place.domain != cut && b.place.domain != cut
+
+    fun answers(asker: WorldHost, asked: WorldHost) = !asked.paused && linked(asker, asked)
+
+    fun begin(host: WorldHost, request: RequestKey): Run {
+        val key = CopyKey(request, GenerationId("g${++ids}"))
+        return run(host, key, Lineage.of(BranchId(1, host.place.host, nonce())), TokenLog())
+    }
+
+    fun run(host: WorldHost, key: CopyKey, lineage: Lineage, log: TokenLog): Run {
+        val run = Run(host, key, lineage, log, ++ids)
+        host.runs += run
+        val holders = order.holders(key.request, host.place.domain, 1)
+        feed(run, JournalInput.Holders(holders))
+        return run
+    }
+
+    fun nonce() = random.nextLong()
+
+    fun candidates(request: RequestKey) = order.candidates(request, 1).map { host(it) }
+
+    fun fault() {
+        when (random.nextInt(9)) {
+            0 -> hosts.random(random).replace()
+            in 1..2 -> hosts.random(random).paused = true
+            in 3..5 -> hosts.forEach { if (random.nextBoolean()) it.paused = false }
+            6 -> cut = hosts.random(random).place.domain
+            else -> cut = null
+        }
+    }
+
+    fun heal() {
+        cut = null
+        hosts.forEach { it.paused = false }
+    }
+
+    fun step() {
+        now += random.nextInt(1, 60).milliseconds
+        if (random.nextInt(60) == 0) now += 1_100.milliseconds
+        repeat(2) { if (messages.isNotEmpty()) deliver(messages.random(random)) }
+        hosts.filter { !it.paused }.flatMap { it.runs.toList() }.forEach { work(it) }
+    }
+
+    private fun deliver(message: Message) {
+        if (message.to.paused) return
+        messages.remove(message)
+        if (linked(message.from, message.to)) message.deliver()
+    }
+
+    private fun work(run: Run) {
+        if (run.journal.superseded) return
+        if (run.finish == null && random.nextInt(3) == 0) {
+            run.log.append(run.engine.next(random.nextInt(1, 3).coerceAtMost(LENGTH - run.log.size)))
+            feed(run, JournalInput.Grown)
+            if (run.log.size == LENGTH) {
+                run.finish = FinishReason.LENGTH
+                feed(run, JournalInput.Finished(FinishReason.LENGTH))
+            }
+        }
+        if (run.journal.nextDeadline()?.let { now >= it } == true) feed(run, JournalInput.Tick)
+    }
+
+    private fun feed(run: Run, input: JournalInput) {
+        run.journal.handle(input, now).forEach { effect ->
+            when (effect) {
+                is JournalEffect.Send -> send(run, effect)
+                is JournalEffect.Release -> run.finishReleased = effect.finish != null
+                else -> Unit
+            }
+        }
+    }
+
+    private fun send(run: Run, effect: JournalEffect.Send) {
+        val holder = host(effect.holder)
+        messages += Message(run.host, holder) {
+            val outcome = holder.copies.append(effect.batch, now)
+            messages += Message(holder, run.host) {
+                if (run in run.host.runs) {
+                    feed(run, JournalInput.Answered(effect.holder, outcome))
+                }
+            }
+        }
+    }
+
+    companion object {
+        const val LENGTH = 60
+        val POLICY = CopyPolicy(
+            copyAfter = 600.milliseconds,
+            copyAfterTokens = 8,
+            interval = 20.milliseconds,
+            ackTimeout = 400.milliseconds,
+            retryInterval = 500.milliseconds,
+        )
+        val WAIT: Duration = 100.milliseconds
+
+        fun place(n: Int) = HostPlace(HostId("h$n"), FailureDomainId("d${n / 2}"), "r")
+    }
+}
