Send non-idempotent calls under a claim

Cause: bookings must run at most once. Change: the service path claims before it sends, records the outcome, and answers repeats from the record; a caller may state that a send is its first, since only then a refused claim proves that nothing ran.

--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/call/RealClaimedCalls.kt
@@ -0,0 +1,128 @@
+/** Calls that may not be repeated, sent under a claim. */
+package burdockspread.call
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import burdockspread.claim.BodyHash
+import burdockspread.claim.CallOutcome
+import burdockspread.claim.ClaimDecision
+import burdockspread.claim.ClaimLedger
+import burdockspread.claim.ClaimRequest
+import burdockspread.claim.SendPermit
+import burdockspread.document.ServiceCall
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.id.IdempotencyKey
+import burdockspread.id.OrganisationId
+import burdockspread.id.TargetId
+import burdockspread.observe.EntryListener
+import burdockspread.pool.Route
+import burdockspread.pool.TargetRouter
+import burdockspread.request.ServiceAnswer
+import burdockspread.request.ServiceRequest
+import burdockspread.route.PoolKey
+import burdockspread.route.RouteRequest
+import burdockspread.target.service.ServiceResult
+import burdockspread.time.TimeSource
+import com.google.protobuf.ByteString
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration.Companion.seconds
+
+/** Claims each call in the platform's store before it is sent, and records its outcome there. */
+internal class RealClaimedCalls(
+    private val ledger: ClaimLedger,
+    private val router: TargetRouter,
+    private val sender: CallSender,
+    private val listener: EntryListener,
+    private val time: TimeSource,
+) : ClaimedCalls {
+    override suspend fun send(
+        request: ServiceRequest,
+        call: ServiceCall,
+        organisation: OrganisationId,
+        key: IdempotencyKey,
+    ): Either<Refusal, ServiceAnswer> {
+        val bodyHash = BodyHash.of(request.service, call.name, request.body.encodeToByteArray())
+        val ask = ClaimRequest(organisation, key, bodyHash, request.firstSend)
+        val decision = ledger.claim(ask, time.now())
+        val result =
+            when (decision) {
+                is ClaimDecision.Send -> sendOnce(request, call, decision.permit)
+                is ClaimDecision.AlreadyDone -> recorded(decision)
+                else -> refused(call, decision)
+            }
+        val outcome = result.fold({ "${it.code.number}" }, { "answered ${it.status}" })
+        listener.callEnded(request.id, organisation, call.name, null, outcome)
+        return result
+    }
+
+    private suspend fun sendOnce(
+        request: ServiceRequest,
+        call: ServiceCall,
+        permit: SendPermit,
+    ): Either<Refusal, ServiceAnswer> {
+        if (!permit.trySend(time.now())) return notSent(call, permit, "the claim came too late")
+        var avoid: PersistentSet<TargetId> = persistentSetOf()
+        while (time.now() <= permit.sendBefore) {
+            val route = route(request, avoid) ?: break
+            when (val result = sender.send(request, call, route)) {
+                is ServiceResult.Answered -> return answered(result, permit)
+                is ServiceResult.Unknown -> return unknown(call)
+                is ServiceResult.NotSent -> avoid = avoid.add(route.target.id)
+            }
+        }
+        return notSent(call, permit, "no target took the connection")
+    }
+
+    private fun route(request: ServiceRequest, avoid: PersistentSet<TargetId>): Route? = router
+        .route(PoolKey.Service(request.service), RouteRequest(avoid = avoid), time.now())
+        .getOrNull()
+
+    private fun answered(
+        result: ServiceResult.Answered,
+        permit: SendPermit,
+    ): Either<Refusal, ServiceAnswer> {
+        val answer = ByteString.copyFromUtf8(result.body)
+        ledger.record(permit, CallOutcome.Done(result.status, answer), time.now())
+        return ServiceAnswer(result.status, result.body).right()
+    }
+
+    private fun notSent(
+        call: ServiceCall,
+        permit: SendPermit,
+        detail: String,
+    ): Either<Refusal, ServiceAnswer> {
+        ledger.record(permit, CallOutcome.NotSent, time.now())
+        return Refusal(ErrorCode.CALL_NOT_RUN, "${call.name}: $detail; use a new key").left()
+    }
+
+    private fun unknown(call: ServiceCall): Either<Refusal, ServiceAnswer> =
+        Refusal(ErrorCode.OUTCOME_UNKNOWN, "${call.name}: the target's answer was lost").left()
+
+    private fun recorded(decision: ClaimDecision.AlreadyDone): Either<Refusal, ServiceAnswer> {
+        val body = decision.answer?.toStringUtf8() ?: ANSWER_NOT_KEPT
+        return ServiceAnswer(decision.status, body).right()
+    }
+
+    private fun refused(
+        call: ServiceCall,
+        decision: ClaimDecision,
+    ): Either<Refusal, ServiceAnswer> {
+        val code = checkNotNull(decision.code) { "$decision carries no code" }
+        val reason =
+            when (decision) {
+                is ClaimDecision.Unavailable -> decision.reason
+                is ClaimDecision.Pending -> decision.reason
+                else -> code.meaning
+            }
+        val retryAfter = RETRY_AFTER.takeIf { code.retryable }
+        return Refusal(code, "${call.name}: $reason", retryAfter).left()
+    }
+
+    private companion object {
+        const val ANSWER_NOT_KEPT = """{"note":"done; the answer was too large to be kept"}"""
+        val RETRY_AFTER = 1.seconds
+    }
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/call/ServiceHandler.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/call/ServiceHandler.kt
@@ -10,17 +10,14 @@
 import burdockspread.id.OrganisationId
 import burdockspread.id.TargetId
 import burdockspread.observe.EntryListener
-import burdockspread.pool.Route
 import burdockspread.pool.TargetRouter
 import burdockspread.request.ErrorResult
 import burdockspread.request.RequestContext
 import burdockspread.request.RequestResult
 import burdockspread.request.ServiceAnswer
 import burdockspread.request.ServiceRequest
-import burdockspread.route.FlightFailure
 import burdockspread.route.PoolKey
 import burdockspread.route.RouteRequest
-import burdockspread.target.service.ServiceClient
 import burdockspread.target.service.ServiceResult
 import burdockspread.time.TimeSource
 import kotlinx.collections.immutable.PersistentSet
@@ -29,7 +26,7 @@
 /** Sends idempotent calls with retries within the budget, and others through a [ClaimedCalls]. */
 internal class ServiceHandler(
     private val router: TargetRouter,
-    private val client: ServiceClient,
+    private val sender: CallSender,
     private val claimed: ClaimedCalls,
     private val listener: EntryListener,
     private val time: TimeSource,
@@ -66,7 +63,7 @@
             val route = router.route(pool, RouteRequest(avoid = avoid), time.now())
                 .mapLeft { if (tries == 0) it else failed(call, "no other target is left") }
                 .bind()
-            val answer = attempt(request, call, route)
+            val answer = sender.send(request, call, route)
             listener.callEnded(request.id, organisation, call.name, route.target.id, name(answer))
             if (answer is ServiceResult.Answered && answer.status < SERVER_ERROR) {
                 return ServiceAnswer(answer.status, answer.body)
@@ -76,31 +73,6 @@
         raise(failed(call, "$MAX_TRIES targets failed"))
     }
 
-    private suspend fun attempt(
-        request: ServiceRequest,
-        call: ServiceCall,
-        route: Route,
-    ): ServiceResult {
-        val key = request.key?.value
-        val address = route.target.address
-        val sent =
-            burdockspread.target.service.ServiceCall(
-                address,
-                call.name,
-                request.body,
-                key,
-                call.timeout,
-            )
-        val result = client.send(sent)
-        val now = time.now()
-        when (result) {
-            is ServiceResult.Answered -> route.flight.onDone(now)
-            is ServiceResult.NotSent -> route.flight.onFailed(FlightFailure.NOT_CONNECTED, now)
-            is ServiceResult.Unknown -> route.flight.onFailed(FlightFailure.BROKEN, now)
-        }
-        return result
-    }
-
     private fun failed(call: ServiceCall, detail: String): Refusal =
         Refusal(ErrorCode.CALL_FAILED, "${call.name}: $detail")
 
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -1,16 +1,15 @@
 /** One running entry host: wires the parts together. */
 package burdockspread.entry
 
-import arrow.core.left
-import burdockspread.call.ClaimedCalls
+import burdockspread.call.CallSender
+import burdockspread.call.RealClaimedCalls
 import burdockspread.call.ServiceHandler
+import burdockspread.claim.ClaimLedger
 import burdockspread.document.DocumentHolder
 import burdockspread.document.DocumentListener
 import burdockspread.document.DocumentSnapshot
 import burdockspread.drain.DrainGate
 import burdockspread.drain.DrainPhase
-import burdockspread.error.ErrorCode
-import burdockspread.error.Refusal
 import burdockspread.feed.DocumentFeed
 import burdockspread.generation.OpenGenerations
 import burdockspread.generation.TokenTimes
@@ -92,8 +91,10 @@
     private val sessions =
         SessionServices(scope, time, engines, router, TokenTimes(), listener)
     private val generations = GenerationHandler(host, sessions, open, random)
-    private val calls =
-        ServiceHandler(router, serviceClient, claimedCalls(), listener, time)
+    private val sender = CallSender(serviceClient, time)
+    private val ledger = ClaimLedger.create("$host-${random.nextLong().toULong()}", store, time)
+    private val claimed = RealClaimedCalls(ledger, router, sender, listener, time)
+    private val calls = ServiceHandler(router, sender, claimed, listener, time)
     private val gate = DrainGate(settings.callerLimits.maxOpenRequests)
     private val interceptors =
         persistentListOf<Interceptor>(gate, AuthenticationInterceptor(), Interceptor(::dispatch))
@@ -105,6 +106,7 @@
     fun start() {
         server.start()
         scope.launch { DocumentFeed(store, ::take, random).run() }
+        scope.launch { ledger.pump() }
         log.info("serving callers on {}", settings.callerAddress)
     }
 
@@ -152,10 +154,6 @@
         log.debug("section {} version {}: {}", value.key.name, value.version, result)
     }
 
-    private fun claimedCalls(): ClaimedCalls = ClaimedCalls { _, _, _, _ ->
-        Refusal(ErrorCode.CLAIM_UNAVAILABLE, "claims are not served yet").left()
-    }
-
     private fun server(): EntryServer {
         val limits = settings.callerLimits
         val bodies =
--- a/burdock-entry/src/main/kotlin/burdockspread/http/RequestParser.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/RequestParser.kt
@@ -75,6 +75,8 @@
     internal companion object {
         const val REQUEST_ID = "X-Request-Id"
         const val IDEMPOTENCY_KEY = "Idempotency-Key"
+        const val IDEMPOTENCY_ATTEMPT = "Idempotency-Attempt"
+        const val FIRST_ATTEMPT = "first"
         const val LAST_EVENT_ID = "Last-Event-ID"
         const val BEARER = "Bearer "
         val NAME = Regex("""[\x21-\x7e]{1,200}""")
--- a/burdock-entry/src/main/kotlin/burdockspread/request/CallerRequest.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/request/CallerRequest.kt
@@ -37,6 +37,7 @@
  * A call to a plain service.
  *
  * @property key marks repeated sends of one call; needed for calls that may not be repeated.
+ * @property firstSend whether the caller states that it never sent this key before.
  */
 public data class ServiceRequest(
     override val id: RequestId,
@@ -46,4 +47,5 @@
     public val call: String,
     public val body: String,
     public val key: IdempotencyKey? = null,
+    public val firstSend: Boolean = false,
 ) : CallerRequest
