Measure bookings a second, waits, bytes and replay reads of the claims ledger

Cause: the store's writes are the bound. Change: a simulation in virtual time of the real shard machines against a store of 300 writes/s, with each host writing for itself and with one writer for each shard, and bounds from the target.

--- /dev/null
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Footprint.kt
@@ -0,0 +1,63 @@
+/** Memory, store and replay of many claims. */
+package burdockspread.bench.claims
+
+import burdockspread.claim.BodyHash
+import burdockspread.claim.ClaimAsk
+import burdockspread.claim.ClaimId
+import burdockspread.claim.ClaimSettings
+import burdockspread.claim.KeyHash
+import burdockspread.claim.ShardMachine
+import burdockspread.claim.ShardStep
+import burdockspread.fakes.store.FakeObjectStore
+import kotlin.time.Instant
+
+/** What [bookings] done bookings with answers of 200 bytes take. */
+internal class Footprint(
+    val bookings: Int,
+    val storeBytes: Int,
+    val objects: Int,
+    val replayReads: Long,
+    val heapBytes: Long,
+) {
+    fun line(): String = (
+        "%d bookings done, answers of 200 bytes: %d bytes in the store and %d in memory each; " +
+            "%d objects; a new host reads %d objects"
+        ).format(bookings, storeBytes / bookings, heapBytes / bookings, objects, replayReads)
+
+    companion object {
+        private const val COPIES = 10
+
+        /** Books through one holder of one shard and replays the log in new hosts. */
+        fun measure(bookingsPerSecond: Int): Footprint {
+            val scenario = CommitScenario(1, 1, Writers.SHARD_HOLDER, bookingsPerSecond)
+            val simulation = CommitSimulation(scenario)
+            simulation.run()
+            val objects = simulation.fake.peekAll()
+            val before = usedHeap()
+            val readsBefore = simulation.fake.reads.get()
+            val replayed = List(COPIES) { replay(simulation.fake, "new-$it") }
+            val reads = (simulation.fake.reads.get() - readsBefore) / COPIES
+            val heap = (usedHeap() - before) / COPIES
+            val entries = replayed.first().state().entries
+            return Footprint(entries, objects.sumOf { it.value.length }, objects.size, reads, heap)
+        }
+
+        /** A new host reads the log because somebody asks for a key. */
+        private fun replay(store: FakeObjectStore, process: String): ShardMachine {
+            val now = Instant.fromEpochSeconds(1_700_000_100)
+            val machine = ShardMachine(0, process, ClaimSettings(shardCount = 1))
+            val body = BodyHash("ab".repeat(32))
+            machine.ask(ClaimAsk(ClaimId("$process/1"), KeyHash(0, 0), body, true, now), now)
+            while (true) {
+                val step = machine.poll(now) as? ShardStep.Read ?: return machine
+                machine.onRead(runNow { store.get(step.key) }, now)
+            }
+        }
+
+        private fun usedHeap(): Long {
+            repeat(3) { System.gc() }
+            val runtime = Runtime.getRuntime()
+            return runtime.totalMemory() - runtime.freeMemory()
+        }
+    }
+}
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Main.kt
@@ -3,28 +3,50 @@
 
 private const val FIRST_SEED = 1L
 private const val EVENTS = 120
+private const val WEAKENED_SHARE = 30
+private val HOSTS = listOf(15, 60, 130, 260, 520)
+private val SHARDS = listOf(4, 16, 64)
+private val RATES = listOf(50, 100, 200, 400, 800, 1_600)
+private const val WRITES_OF_OWN_OBJECT = 3 // Claim, outcome and deletion.
 
 /** Runs the whole comparison. The first argument is the number of schedules. */
 public fun main(args: Array<String>) {
     val count = args.firstOrNull()?.toInt() ?: 300_000
+    printCommits()
+    println(Footprint.measure(bookingsPerSecond = 800).line())
     printSchedules(count)
 }
 
+private fun printCommits() {
+    println("Bookings through the ledger, seed ${CommitSimulation.SEED}; rates a second, ms")
+    val limit = RateLimitedStore.WRITES_PER_SECOND
+    println("The store takes $limit writes/s; calls take ${CommitSimulation.STORE_TIME}")
+    println("An object for each booking: ${limit / WRITES_OF_OWN_OBJECT} bookings/s")
+    println(CommitReport.HEADER)
+    for (hosts in HOSTS) {
+        for (shards in SHARDS) {
+            printHighestCarried(hosts, shards, Writers.EACH_HOST)
+        }
+    }
+    HOSTS.forEach { printHighestCarried(it, 16, Writers.EACH_HOST_LATE_OUTCOMES) }
+    SHARDS.forEach { printHighestCarried(15, it, Writers.SHARD_HOLDER) }
+    SHARDS.forEach { printHighestCarried(520, it, Writers.SHARD_HOLDER) }
+}
+
+private fun printHighestCarried(hosts: Int, shards: Int, writers: Writers) {
+    for (rate in RATES) {
+        val report = CommitSimulation(CommitScenario(hosts, shards, writers, rate)).run()
+        println(report.line())
+        if (!report.isCarried) return
+    }
+}
+
 private fun printSchedules(count: Int) {
     println("Random schedules of $EVENTS events, seeds from $FIRST_SEED")
     Weakening.entries.forEach { weakening ->
-        val runs = if (weakening == Weakening.NONE) count else count / 30
+        val runs = if (weakening == Weakening.NONE) count else count / WEAKENED_SHARE
         val totals = ScheduleTotals.of(weakening, FIRST_SEED, runs, EVENTS)
-        println(
-            "%-48s %8d schedules, %6d broken, most sends for a key %d %s %s".format(
-                totals.label,
-                totals.schedules,
-                totals.broken,
-                totals.mostSends,
-                totals.violations,
-                totals.firstBrokenSeed,
-            ),
-        )
+        println(totals.line())
         if (weakening == Weakening.NONE) println("  decisions: ${totals.decisions}")
     }
 }
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ScheduleReport.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ScheduleReport.kt
@@ -29,6 +29,14 @@
         }
     }
 
+    fun line(): String = "%-44s %7d schedules %6d broken, at most %d sends for a key %s".format(
+        label,
+        schedules,
+        broken,
+        mostSends,
+        violations,
+    )
+
     companion object {
         /** Runs [count] schedules of [events] events each, with seeds from [firstSeed]. */
         fun of(weakening: Weakening, firstSeed: Long, count: Int, events: Int): ScheduleTotals {
