--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/BodyHash.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/BodyHash.kt
@@ -25,7 +25,5 @@
             hasher.putPart(body)
             return BodyHash(hasher.hash().toString())
         }
-
-        internal fun of(bytes: ByteArray): BodyHash = BodyHash(HashCode.fromBytes(bytes).toString())
     }
 }
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimEntry.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimEntry.kt
@@ -5,15 +5,31 @@
 import com.google.protobuf.ByteString
 import kotlin.time.Instant
 
-/** The claim on one key, with its outcome once that is known. */
+/**
+ * The claim on one key, with its outcome once that is known. Kept small: there is one for each call
+ * of the retention time. The holder matters only until the outcome is known.
+ */
 internal class ClaimEntry(
     val sequence: Long,
-    val claimId: ClaimId,
-    val bodyHash: BodyHash,
-    val claimedAt: Instant,
-    var outcome: ClaimRecord? = null,
+    claimId: ClaimId,
+    private val bodyHash: KeyHash,
+    private val claimedAtMillis: Long,
 ) {
-    fun isOpen(id: ClaimId): Boolean = outcome == null && claimId == id
+    private var holder: String? = claimId.value
+
+    var outcome: ClaimDecision? = null
+        private set
+
+    val claimedAt: Instant get() = Instant.fromEpochMilliseconds(claimedAtMillis)
+
+    fun isOpen(id: ClaimId): Boolean = holder == id.value
+
+    fun hasBody(hash: BodyHash): Boolean = bodyHash == KeyHash.of(hash.toBytes())
+
+    fun close(decision: ClaimDecision) {
+        outcome = decision
+        holder = null
+    }
 }
 
 /** The decision that an outcome record stands for. */
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimQueue.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimQueue.kt
@@ -118,10 +118,10 @@
         freshAt: Instant,
         now: Instant,
     ): ClaimDecision? {
-        if (entry.bodyHash != ask.bodyHash) return ClaimDecision.KeyReused
-        if (entry.claimId == ask.id) return ClaimDecision.Send(permit(ask))
+        if (!entry.hasBody(ask.bodyHash)) return ClaimDecision.KeyReused
+        if (entry.isOpen(ask.id)) return ClaimDecision.Send(permit(ask))
         outcomes[ask.key]?.let { return it.record.toDecision() }
-        entry.outcome?.let { return it.toDecision() }
+        entry.outcome?.let { return it }
         if (freshAt < ask.askedAt && now < deadline(ask)) return null
         val age = now - entry.claimedAt
         return if (age > settings.unknownAfter) {
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/KeyHash.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/KeyHash.kt
@@ -15,7 +15,7 @@
         ByteBuffer.allocate(BYTES).putLong(high).putLong(low).array()
 
     public companion object {
-        internal const val BYTES: Int = 16
+        private const val BYTES: Int = 16
 
         /** Hashes [organisation] and [key]. */
         public fun of(organisation: OrganisationId, key: IdempotencyKey): KeyHash {
--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardIndex.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ShardIndex.kt
@@ -3,7 +3,6 @@
 
 import burdockspread.wire.claims.ClaimBatch
 import burdockspread.wire.claims.ClaimRecord
-import kotlin.time.Instant
 
 /** Folds batches into entries. The first claim on a key wins; only its holder adds an outcome. */
 internal class ShardIndex {
@@ -21,8 +20,7 @@
     fun fold(batch: ClaimBatch) {
         if (batch.sequence < next) return
         check(batch.sequence == next) { "batch ${batch.sequence} after ${next - 1}" }
-        val at = Instant.fromEpochMilliseconds(batch.writtenAtMillis)
-        batch.recordsList.forEach { fold(it, batch.sequence, at) }
+        batch.recordsList.forEach { fold(it, batch.sequence, batch.writtenAtMillis) }
         next = batch.sequence + 1
     }
 
@@ -33,14 +31,14 @@
         next = maxOf(next, lowWater)
     }
 
-    private fun fold(record: ClaimRecord, sequence: Long, at: Instant) {
+    private fun fold(record: ClaimRecord, sequence: Long, atMillis: Long) {
         val key = KeyHash.of(record.keyHash.toByteArray())
         val id = ClaimId(record.claimId)
         if (record.state == ClaimRecord.State.CLAIMED) {
-            val hash = BodyHash.of(record.bodySha256.toByteArray())
-            entries.putIfAbsent(key, ClaimEntry(sequence, id, hash, at))
+            val body = KeyHash.of(record.bodySha256.toByteArray())
+            entries.putIfAbsent(key, ClaimEntry(sequence, id, body, atMillis))
         } else {
-            entries[key]?.takeIf { it.isOpen(id) }?.outcome = record
+            entries[key]?.takeIf { it.isOpen(id) }?.close(record.toDecision())
         }
     }
 }
