--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Main.kt
@@ -23,21 +23,26 @@
     println("The store takes $limit writes/s; calls take ${CommitSimulation.STORE_TIME}")
     println("An object for each booking: ${limit / WRITES_OF_OWN_OBJECT} bookings/s")
     println(CommitReport.HEADER)
-    for (hosts in HOSTS) {
-        for (shards in SHARDS) {
-            printHighestCarried(hosts, shards, Writers.EACH_HOST)
+    val columns = HOSTS.flatMap { hosts ->
+        SHARDS.map { Column(hosts, it, Writers.EACH_HOST) }
+    } + HOSTS.map { Column(it, 16, Writers.EACH_HOST_LATE_OUTCOMES) } +
+        listOf(15, 520).flatMap { hosts ->
+            SHARDS.map { Column(hosts, it, Writers.SHARD_HOLDER) }
         }
-    }
-    HOSTS.forEach { printHighestCarried(it, 16, Writers.EACH_HOST_LATE_OUTCOMES) }
-    SHARDS.forEach { printHighestCarried(15, it, Writers.SHARD_HOLDER) }
-    SHARDS.forEach { printHighestCarried(520, it, Writers.SHARD_HOLDER) }
+    inParallel(columns) { it.lines() }.flatten().forEach { println(it) }
 }
 
-private fun printHighestCarried(hosts: Int, shards: Int, writers: Writers) {
-    for (rate in RATES) {
-        val report = CommitSimulation(CommitScenario(hosts, shards, writers, rate)).run()
-        println(report.line())
-        if (!report.isCarried) return
+/** Rising rates of bookings for one way to write. */
+private class Column(val hosts: Int, val shards: Int, val writers: Writers) {
+    /** One line for each rate, up to the first that the store does not carry. */
+    fun lines(): List<String> {
+        val lines = mutableListOf<String>()
+        for (rate in RATES) {
+            val report = CommitSimulation(CommitScenario(hosts, shards, writers, rate)).run()
+            lines += report.line()
+            if (!report.isCarried) break
+        }
+        return lines
     }
 }
 
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ScheduleReport.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/ScheduleReport.kt
@@ -41,9 +41,9 @@
         /** Runs [count] schedules of [events] events each, with seeds from [firstSeed]. */
         fun of(weakening: Weakening, firstSeed: Long, count: Int, events: Int): ScheduleTotals {
             val totals = ScheduleTotals(weakening.label)
-            for (seed in firstSeed until firstSeed + count) {
-                totals.add(seed, ClaimSchedule(seed, weakening).run(events))
-            }
+            val seeds = (firstSeed until firstSeed + count).toList()
+            inParallel(seeds) { ClaimSchedule(it, weakening).run(events) }
+                .forEachIndexed { i, report -> totals.add(seeds[i], report) }
             return totals
         }
     }
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Utils.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Utils.kt
@@ -6,6 +6,8 @@
 import burdockspread.store.ObjectStore
 import burdockspread.store.WriteCondition
 import burdockspread.store.WriteResult
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 import kotlin.coroutines.Continuation
 import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.coroutines.startCoroutine
@@ -31,3 +33,15 @@
         return fake.put(key, value, holding, writeId)
     }
 }
+
+/** Maps [items] on a few threads. Results keep the order of the items. */
+internal fun <A, B> inParallel(items: List<A>, map: (A) -> B): List<B> {
+    val pool = Executors.newFixedThreadPool(THREADS)
+    return try {
+        pool.invokeAll(items.map { Callable { map(it) } }).map { it.get() }
+    } finally {
+        pool.shutdown()
+    }
+}
+
+private const val THREADS = 4
