--- /dev/null
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
@@ -0,0 +1,42 @@
+/** Addresses and settings of the processes of one fleet. */
+package burdockspread.demo
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/** One entry host of a fleet. */
+public data class EntryLayout(
+    public val name: String,
+    public val failureDomain: String,
+    public val caller: String = Ports.freeAddress(),
+    public val operator: String = Ports.freeAddress(),
+    public val peer: String = Ports.freeAddress(),
+)
+
+/** One engine of a fleet. */
+public data class EngineLayout(
+    public val name: String,
+    public val failureDomain: String,
+    public val address: String = Ports.freeAddress(),
+)
+
+/** Where the processes of a fleet listen. */
+public data class FleetLayout(
+    public val store: String = Ports.freeAddress(),
+    public val desk: String = Ports.freeAddress(),
+    public val entries: ImmutableList<EntryLayout>,
+    public val engines: ImmutableList<EngineLayout>,
+) {
+    /** Names of the failure domains. */
+    public val domains: ImmutableList<String>
+        get() = entries.map { it.failureDomain }.distinct().toImmutableList()
+
+    public companion object {
+        /** A fleet of [domains] with one entry host and one engine in each. */
+        public fun of(vararg domains: String): FleetLayout =
+            FleetLayout(
+                entries = domains.map { EntryLayout("$it-1", it) }.toImmutableList(),
+                engines = domains.map { EngineLayout("$it-llm-1", it) }.toImmutableList(),
+            )
+    }
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
@@ -38,7 +38,7 @@
     private val callerRoutes: CallerRoutes,
     private val operatorRoutes: OperatorRoutes,
 ) {
-    private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+    private val server: EmbeddedServer<*, *> =
         embeddedServer(Netty, configure = { configure() }) { module() }
 
     /** Opens both ports and returns at once. */
