--- a/burdock-generation-core/src/test/kotlin/burdockspread/journal/ReturnScheduleTest.kt
+++ b/burdock-generation-core/src/test/kotlin/burdockspread/journal/ReturnScheduleTest.kt
@@ -12,10 +12,9 @@
         val resumed = callers.count { it.resumes > 0 && it.whole }
         val restarted = callers.count { it.restarts > 0 && it.whole }
         val refused = callers.count { it.refusal != null }
-        println("${callers.size} callers: $resumed resumed, $restarted restarted, $refused refused")
         assertTrue(resumed > callers.size / 10, "$resumed resumed")
         assertTrue(restarted > callers.size / 100, "$restarted restarted")
-        assertTrue(refused > 0)
+        assertTrue(refused > 0, "none refused")
     }
 
     private fun play(random: Random, hint: String): List<WorldCaller> {
--- a/burdock-generation-core/src/test/kotlin/burdockspread/journal/World.kt
+++ b/burdock-generation-core/src/test/kotlin/burdockspread/journal/World.kt
@@ -6,7 +6,6 @@
 import burdockspread.id.FailureDomainId
 import burdockspread.id.GenerationId
 import burdockspread.id.HostId
-import kotlinx.collections.immutable.toPersistentList
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -102,7 +101,9 @@
     private fun work(run: Run) {
         if (run.journal.superseded) return
         if (run.finish == null && random.nextInt(3) == 0) {
-            run.log.append(run.engine.next(random.nextInt(1, 3).coerceAtMost(LENGTH - run.log.size)))
+            run.log.append(
+                run.engine.next(random.nextInt(1, 3).coerceAtMost(LENGTH - run.log.size)),
+            )
             feed(run, JournalInput.Grown)
             if (run.log.size == LENGTH) {
                 run.finish = FinishReason.LENGTH
