--- /dev/null
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/Main.kt
@@ -0,0 +1,12 @@
+/** Prints the whole comparison for generations in one run. */
+package burdockspread.bench.generation
+
+/** Prints all tables. Times are virtual unless a table says otherwise. */
+public fun main() {
+    println("Generations, seed ${EngineModel.SEED}")
+    println()
+    EngineLoss.print()
+    EntryLoss.print()
+    CopyInterval.print()
+    Slopes.print()
+}
