Copy from an age of 2 s, and in longer intervals where resources go first

Cause: with copying from 5 s on, a host loss within the first 5 s meant 5,035 ms at p99. Change: copyAfter 2 s, interval 25 ms, or 250 ms for priorities that save resources.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineModel.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineModel.kt
@@ -29,6 +29,9 @@
     fun fault(): EngineFault =
         if (random.nextDouble() < SHARE_FROZEN) EngineFault.FREEZES else EngineFault.DIES
 
+    /** Time for which a frozen engine is silent before it goes on. */
+    fun freeze(): Duration = MEAN_FREEZE * exponential()
+
     /** Tokens of a prefix of [length] generated tokens that the chosen engine has to read again. */
     fun uncached(length: Int, preferCached: Boolean): Int {
         val hit = if (preferCached) HIT_PREFERRED else HIT_RANDOM
@@ -64,6 +67,7 @@
         val MEAN_QUEUE_PREFERRED = 160.milliseconds
         val RECONNECT = 100.milliseconds
         val MEAN_RECONNECT = 200.milliseconds
+        val MEAN_FREEZE = 5.seconds
         const val SHARE_FROZEN = 0.4
         const val HIT_PREFERRED = 0.7
         const val HIT_RANDOM = 0.2
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EntryLoss.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EntryLoss.kt
@@ -42,14 +42,14 @@
     private const val TOKEN_BYTES = 4
     private val SELF = HostId("entry-r1-d3-11")
 
-    fun measure(way: EntryLossWay): EntryFigures {
+    fun measure(way: EntryLossWay, policy: CopyPolicy = CopyPolicy()): EntryFigures {
         val random = Random(EngineModel.SEED)
         val engines = EngineModel(random)
         val figures = EntryFigures()
         repeat(GENERATIONS) {
             val length = engines.length()
             val diesAt = EngineModel.MEDIAN_GAP * random.nextInt(1, length)
-            val run = CopyRun(length, CopyPolicy(), engines, figures.copies, diesAt)
+            val run = CopyRun(length, policy, engines, figures.copies, diesAt)
             run.run()
             val streaming = random.nextDouble() < SHARE_STREAMING
             figures.lost++
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/Main.kt
@@ -7,6 +7,7 @@
     println()
     EngineLoss.print()
     EntryLoss.print()
+    CopyAge.print()
     CopyInterval.print()
     Slopes.print()
 }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealGeneration.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealGeneration.kt
@@ -11,7 +11,7 @@
 import burdockspread.id.AttemptNumber
 import burdockspread.id.TargetId
 import burdockspread.recovery.RecoveryMode
-import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toPersistentSet
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -82,11 +82,7 @@
             drop(input, DropReason.GAP)
             return failed(attempt, FailureCause.GAP, now)
         }
-        val known = (next - input.offset).coerceAtMost(input.tokens.size)
-        count(attempt.number, DropReason.DUPLICATE, known)
-        val unseen = input.tokens.subList(known, input.tokens.size)
-        val fresh = unseen.take(spec.maxTokens - next).toPersistentList()
-        count(attempt.number, DropReason.EXCESS, unseen.size - fresh.size)
+        val fresh = unseen(input, next)
         if (fresh.isEmpty()) return
         keepOnly(attempt)
         tokens.append(fresh)
@@ -94,6 +90,18 @@
         progressed(attempt, fresh.size, now)
     }
 
+    /** The part of the tokens that fills offset [next] and later ones, up to the largest. */
+    private fun unseen(input: GenerationInput.Tokens, next: Int): ImmutableList<String> {
+        val all = input.tokens
+        val room = spec.maxTokens - next
+        if (input.offset == next && all.size <= room) return all
+        val known = (next - input.offset).coerceAtMost(all.size)
+        val end = (known + room).coerceAtMost(all.size)
+        count(input.attempt, DropReason.DUPLICATE, known)
+        count(input.attempt, DropReason.EXCESS, all.size - end)
+        return all.subList(known, end)
+    }
+
     private fun progressed(attempt: Attempt, count: Int, now: Instant) {
         val first = attempt.received == 0
         val each = attempt.progress(count, now)
@@ -235,6 +243,7 @@
 
     /** The [winner] delivered first: the others may not add tokens to its continuation. */
     private fun keepOnly(winner: Attempt) {
+        if (live.size == 1) return
         live.filter { it !== winner }.forEach { effects += CancelAttempt(it.number) }
         live.retainAll { it === winner }
     }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/CopyPolicy.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/CopyPolicy.kt
@@ -1,6 +1,7 @@
 /** When and how the owner of a generation copies its journal. */
 package burdockspread.journal
 
+import burdockspread.recovery.RecoveryMode
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -15,9 +16,19 @@
  * @property retryInterval time between two tries to reach an unreachable or full holder.
  */
 public data class CopyPolicy(
-    public val copyAfter: Duration = 5.seconds,
-    public val copyAfterTokens: Int = 256,
-    public val interval: Duration = 50.milliseconds,
+    public val copyAfter: Duration = 2.seconds,
+    public val copyAfterTokens: Int = 128,
+    public val interval: Duration = 25.milliseconds,
     public val ackTimeout: Duration = 1.seconds,
     public val retryInterval: Duration = 2.seconds,
-)
+) {
+    public companion object {
+        private val SAVING_INTERVAL = 250.milliseconds
+
+        /** The policy for a priority that recovers in [mode]. */
+        public fun of(mode: RecoveryMode): CopyPolicy = when (mode) {
+            RecoveryMode.SAVE_RESOURCES -> CopyPolicy(interval = SAVING_INTERVAL)
+            RecoveryMode.RESUME_EARLY, RecoveryMode.SIDE_BY_SIDE -> CopyPolicy()
+        }
+    }
+}
--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
@@ -50,13 +50,18 @@
     override fun nextDeadline(): Instant? {
         if (superseded) return null
         if (!copying) return (createdAt + policy.copyAfter).takeIf { finish == null }
-        val timers = holders.mapNotNull { holder ->
-            holder.sentAt?.let { it + policy.ackTimeout }
-                ?: holder.notBefore.takeIf { lacks(holder) }
+        var earliest = handOverBy
+        for (holder in holders) {
+            val due = deadline(holder) ?: continue
+            earliest = earliest?.let { minOf(it, due) } ?: due
         }
-        return (timers + listOfNotNull(handOverBy)).minOrNull()
+        return earliest
     }
 
+    private fun deadline(holder: HolderState): Instant? =
+        holder.sentAt?.let { it + policy.ackTimeout }
+            ?: holder.notBefore.takeIf { lacks(holder) }
+
     private fun proceed(now: Instant) {
         startCopying(now)
         if (copying) holders.forEach { send(it, now) }
