--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/Main.kt
@@ -7,6 +7,7 @@
     println()
     EngineLoss.print()
     EntryLoss.print()
+    ReturnSchedule.print()
     CopyAge.print()
     CopyInterval.print()
     Slopes.print()
--- a/burdock-generation-core/src/test/kotlin/burdockspread/journal/World.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/ReturnWorld.kt
@@ -1,32 +1,56 @@
-package burdockspread.journal
+/** Hosts that die, pause and are cut off, for random schedules of returning callers. */
+package burdockspread.bench.generation
 
-import burdockspread.generation.ChainedEngine
+import burdockspread.fakes.engine.ChainedEngine
 import burdockspread.generation.FinishReason
 import burdockspread.generation.TokenLog
 import burdockspread.id.FailureDomainId
 import burdockspread.id.GenerationId
 import burdockspread.id.HostId
+import burdockspread.id.OrganisationId
+import burdockspread.id.RequestId
+import burdockspread.journal.BranchId
+import burdockspread.journal.CopyKey
+import burdockspread.journal.CopyLimits
+import burdockspread.journal.CopyPolicy
+import burdockspread.journal.HolderOrder
+import burdockspread.journal.HostPlace
+import burdockspread.journal.JournalCopies
+import burdockspread.journal.JournalEffect
+import burdockspread.journal.JournalInput
+import burdockspread.journal.Lineage
+import burdockspread.journal.OwnerJournal
+import burdockspread.journal.RequestKey
+import burdockspread.journal.Sighting
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** A generation that runs on one host; its engine differs from every other run's. */
-class Run(val host: WorldHost, val key: CopyKey, val lineage: Lineage, val log: TokenLog, id: Int) {
+internal class ReturnRun(
+    val host: ReturnHost,
+    val key: CopyKey,
+    val lineage: Lineage,
+    val log: TokenLog,
+    id: Int,
+) {
     val engine = ChainedEngine(id, log.slice(0))
     var finish: FinishReason? = null
     var finishReleased = false
-    val journal = OwnerJournal(key, lineage, log, "{}", START, World.POLICY)
+    val journal = OwnerJournal(key, lineage, log, "{}", ReturnWorld.START, ReturnWorld.POLICY)
+
+    /** Number of tokens that a caller may read. */
+    fun readable(weakening: Weakening): Int =
+        if (weakening == Weakening.RELEASE_AT_ONCE) log.size else journal.released
 
     fun sighting() = Sighting.Running(host.place.host, key, lineage, log.size, finish)
 }
 
-class WorldHost(val place: HostPlace) {
+internal class ReturnHost(val place: HostPlace) {
     var copies = JournalCopies(CopyLimits(1_000_000))
-    val runs = ArrayList<Run>()
+    val runs = ArrayList<ReturnRun>()
     var paused = false
 
-    fun runOf(request: RequestKey) = runs.lastOrNull { it.key.request == request }
-
     /** The host is replaced by one of the same name that knows nothing. */
     fun replace() {
         copies = JournalCopies(CopyLimits(1_000_000))
@@ -35,31 +59,34 @@
     }
 }
 
+/** A rule of the core that a trial goes without. */
+internal enum class Weakening { NONE, NO_LINEAGE, RELEASE_AT_ONCE }
+
 /** Hosts in three domains, with messages that are late, lost by cuts, or wait for a paused host. */
-class World(val random: Random) {
-    val hosts = (0 until 6).map { WorldHost(place(it)) }
+internal class ReturnWorld(val random: Random, val weakening: Weakening) {
+    val hosts = (0 until 6).map { ReturnHost(place(it)) }
     private val messages = ArrayList<Message>()
     private val order = HolderOrder(hosts.map { it.place }, "r")
     private var ids = 0
     private var cut: FailureDomainId? = null
     var now = START
 
-    private class Message(val from: WorldHost, val to: WorldHost, val deliver: () -> Unit)
+    private class Message(val from: ReturnHost, val to: ReturnHost, val deliver: () -> Unit)
 
     fun host(id: HostId) = hosts.first { it.place.host == id }
 
-    fun linked(a: WorldHost, b: WorldHost) =
+    fun linked(a: ReturnHost, b: ReturnHost) =
         a.place.domain == b.place.domain || a.place.domain != cut && b.place.domain != cut
 
-    fun answers(asker: WorldHost, asked: WorldHost) = !asked.paused && linked(asker, asked)
+    fun answers(asker: ReturnHost, asked: ReturnHost) = !asked.paused && linked(asker, asked)
 
-    fun begin(host: WorldHost, request: RequestKey): Run {
+    fun begin(host: ReturnHost, request: RequestKey): ReturnRun {
         val key = CopyKey(request, GenerationId("g${++ids}"))
         return run(host, key, Lineage.of(BranchId(1, host.place.host, nonce())), TokenLog())
     }
 
-    fun run(host: WorldHost, key: CopyKey, lineage: Lineage, log: TokenLog): Run {
-        val run = Run(host, key, lineage, log, ++ids)
+    fun run(host: ReturnHost, key: CopyKey, lineage: Lineage, log: TokenLog): ReturnRun {
+        val run = ReturnRun(host, key, lineage, log, ++ids)
         host.runs += run
         val holders = order.holders(key.request, host.place.domain, 1)
         feed(run, JournalInput.Holders(holders))
@@ -98,7 +125,7 @@
         if (linked(message.from, message.to)) message.deliver()
     }
 
-    private fun work(run: Run) {
+    private fun work(run: ReturnRun) {
         if (run.journal.superseded) return
         if (run.finish == null && random.nextInt(3) == 0) {
             run.log.append(
@@ -113,7 +140,7 @@
         if (run.journal.nextDeadline()?.let { now >= it } == true) feed(run, JournalInput.Tick)
     }
 
-    private fun feed(run: Run, input: JournalInput) {
+    private fun feed(run: ReturnRun, input: JournalInput) {
         run.journal.handle(input, now).forEach { effect ->
             when (effect) {
                 is JournalEffect.Send -> send(run, effect)
@@ -123,7 +150,7 @@
         }
     }
 
-    private fun send(run: Run, effect: JournalEffect.Send) {
+    private fun send(run: ReturnRun, effect: JournalEffect.Send) {
         val holder = host(effect.holder)
         messages += Message(run.host, holder) {
             val outcome = holder.copies.append(effect.batch, now)
@@ -144,7 +171,9 @@
             ackTimeout = 400.milliseconds,
             retryInterval = 500.milliseconds,
         )
-        val WAIT: Duration = 100.milliseconds
+        val START: Instant = Instant.fromEpochSeconds(0)
+
+        fun request(n: Int) = RequestKey(OrganisationId("o"), RequestId("r$n"))
 
         fun place(n: Int) = HostPlace(HostId("h$n"), FailureDomainId("d${n / 2}"), "r")
     }
--- /dev/null
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/AvoidedTargets.kt
@@ -0,0 +1,23 @@
+/** The targets that failed one generation. */
+package burdockspread.generation
+
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.toPersistentSet
+
+/** The latest targets that failed; older ones are forgotten, since they may be well again. */
+internal class AvoidedTargets {
+    private val targets = ArrayDeque<TargetId>()
+
+    fun add(target: TargetId?) {
+        if (target == null || target in targets) return
+        targets.addLast(target)
+        if (targets.size > MAX_TARGETS) targets.removeFirst()
+    }
+
+    fun snapshot(): ImmutableSet<TargetId> = targets.toPersistentSet()
+
+    private companion object {
+        const val MAX_TARGETS = 8
+    }
+}
--- a/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealGeneration.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/generation/RealGeneration.kt
@@ -12,8 +12,6 @@
 import burdockspread.id.TargetId
 import burdockspread.recovery.RecoveryMode
 import kotlinx.collections.immutable.ImmutableList
-import kotlinx.collections.immutable.toPersistentSet
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -29,7 +27,8 @@
 
     private val limits = StallLimits(spec, times)
     private val live = ArrayList<Attempt>()
-    private val avoid = ArrayDeque<TargetId>()
+    private val avoided = AvoidedTargets()
+    private val backoff = Backoff()
     private val effects = ArrayList<GenerationEffect>()
     private var lastNumber = 0
     private var extraAttempts = 0
@@ -37,16 +36,15 @@
     private var lastAccepted: Instant = Instant.DISTANT_PAST
     private var reopenAt: Instant? = null
     private var lastCause = FailureCause.CONNECTION_LOST
-    private var pause = FIRST_PAUSE
 
     override fun handle(input: GenerationInput, now: Instant): List<GenerationEffect> {
         if (closed) {
-            countLate(input)
+            if (input is GenerationInput.Tokens) drop(input, DropReason.LATE)
             return emptyList()
         }
         when (input) {
             is GenerationInput.Start -> start(now)
-            is GenerationInput.Opened -> opened(input)
+            is GenerationInput.Opened -> current(input.attempt)?.target = input.target
             is GenerationInput.Tokens -> accept(input, now)
             is GenerationInput.Finished -> finished(input, now)
             is GenerationInput.Failed -> current(input.attempt)?.let {
@@ -70,10 +68,6 @@
         open(now)
     }
 
-    private fun opened(input: GenerationInput.Opened) {
-        current(input.attempt)?.target = input.target
-    }
-
     private fun accept(input: GenerationInput.Tokens, now: Instant) {
         val attempt = current(input.attempt) ?: return drop(input, DropReason.LATE)
         mayHaveRun = true
@@ -106,7 +100,7 @@
         val first = attempt.received == 0
         val each = attempt.progress(count, now)
         lastAccepted = now
-        pause = FIRST_PAUSE
+        backoff.reset()
         val target = attempt.target ?: return
         if (first) {
             times.recordFirst(target, spec.model, each * count)
@@ -133,7 +127,7 @@
         live.remove(attempt)
         if (cause == FailureCause.GAP) effects += CancelAttempt(attempt.number)
         if (!cause.provesNotRun) mayHaveRun = true
-        avoid(attempt.target)
+        avoided.add(attempt.target)
         lastCause = cause
         if (live.isNotEmpty()) return
         when {
@@ -168,7 +162,7 @@
         if (tokens.size >= spec.maxTokens) return complete(FinishReason.LENGTH)
         if (mayTryAgain()) return replace(attempt, now)
         if (now - lastAccepted > limits.patience) return fail(ErrorCode.ATTEMPTS_EXHAUSTED)
-        attempt.checkAgainAt = now + nextPause()
+        attempt.checkAgainAt = now + backoff.next()
     }
 
     /** A slow attempt would deliver before one beside it, so it is cancelled in every mode. */
@@ -182,13 +176,13 @@
     private fun replace(attempt: Attempt, now: Instant) {
         val beside = spec.policy.mode == RecoveryMode.SIDE_BY_SIDE && live.size < MAX_LIVE
         if (!beside) return replaceBy(now, attempt)
-        avoid(attempt.target)
+        avoided.add(attempt.target)
         attempt.checkAgainAt = now + spec.policy.maxStall
         open(now)
     }
 
     private fun replaceBy(now: Instant, attempt: Attempt) {
-        avoid(attempt.target)
+        avoided.add(attempt.target)
         live.remove(attempt)
         effects += CancelAttempt(attempt.number)
         open(now)
@@ -197,7 +191,7 @@
     private fun move(target: TargetId, now: Instant) {
         val attempt = live.firstOrNull { it.target == target } ?: return
         mayHaveRun = true
-        avoid(target)
+        avoided.add(target)
         live.remove(attempt)
         effects += CancelAttempt(attempt.number)
         if (live.isEmpty()) open(now)
@@ -216,7 +210,7 @@
     }
 
     private fun waitBeforeReopening(now: Instant) {
-        reopenAt = now + nextPause()
+        reopenAt = now + backoff.next()
     }
 
     private fun mayTryAgain(): Boolean {
@@ -236,7 +230,7 @@
             attempt = attempt.number,
             prefix = tokens.slice(0),
             maxTokens = spec.maxTokens - tokens.size,
-            avoid = avoid.toPersistentSet(),
+            avoid = avoided.snapshot(),
             preferCachedPrefix = spec.policy.mode == RecoveryMode.SAVE_RESOURCES,
         )
     }
@@ -268,18 +262,6 @@
 
     private fun current(number: AttemptNumber): Attempt? = live.firstOrNull { it.number == number }
 
-    private fun avoid(target: TargetId?) {
-        if (target == null || target in avoid) return
-        avoid.addLast(target)
-        if (avoid.size > MAX_AVOIDED) avoid.removeFirst()
-    }
-
-    private fun nextPause() = pause.also { pause = (pause * 2).coerceAtMost(LAST_PAUSE) }
-
-    private fun countLate(input: GenerationInput) {
-        if (input is GenerationInput.Tokens) drop(input, DropReason.LATE)
-    }
-
     private fun drop(input: GenerationInput.Tokens, reason: DropReason) =
         count(input.attempt, reason, input.tokens.size)
 
@@ -289,9 +271,6 @@
 
     private companion object {
         const val MAX_LIVE = 2
-        const val MAX_AVOIDED = 8
-        val FIRST_PAUSE = 50.milliseconds
-        val LAST_PAUSE = 1.seconds
         val RETRY_AFTER = 1.seconds
 
         /** Lateness of a tick from which the process itself was paused. */
--- a/burdock-generation-core/src/test/kotlin/burdockspread/generation/GenerationBench.kt
+++ b/burdock-generation-core/src/test/kotlin/burdockspread/generation/GenerationBench.kt
@@ -1,5 +1,6 @@
 package burdockspread.generation
 
+import burdockspread.fakes.engine.ChainedEngine
 import burdockspread.generation.GenerationEffect.CancelAttempt
 import burdockspread.generation.GenerationEffect.OpenAttempt
 import burdockspread.id.AttemptNumber
