Give operators burdockctl

Cause: edits, their rollout and the fleet's health need one command with checked settings and documented exit codes. Schema of GET /fleet: fleet.proto.

--- /dev/null
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/CtlSettingsRules.kt
@@ -0,0 +1,14 @@
+/** Rules of the settings of burdockctl. */
+package burdockspread.ctl
+
+import burdockspread.settings.SettingsLoader
+import burdockspread.settings.store
+import burdockspread.wire.settings.CtlSettings
+
+/** Loader of the settings of `burdockctl`. */
+public val ctlSettings: SettingsLoader<CtlSettings> =
+    SettingsLoader(CtlSettings.getDefaultInstance()) { settings ->
+        store(settings.store)
+        required("team", settings.team)
+        settings.hostsList.forEachIndexed { i, host -> address("hosts[$i]", host) }
+    }
--- /dev/null
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/FleetView.kt
@@ -0,0 +1,95 @@
+/** Shows a fleet report as tables. */
+package burdockspread.ctl
+
+import burdockspread.settings.toKotlin
+import burdockspread.wire.fleet.FleetReport
+import burdockspread.wire.fleet.HostVersions
+import burdockspread.wire.fleet.PoolReport
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Tables of what is close to a limit first. */
+internal class FleetView(private val report: FleetReport) {
+    /** The lines to print. */
+    fun lines(): List<String> = buildList {
+        add("as seen by ${report.host} at ${Instant.fromEpochSeconds(report.at.seconds)}")
+        add("")
+        add(pools().render())
+        add("")
+        val resumes = rate(report.resumesPerMinute)
+        val retries = rate(report.retriesPerMinute)
+        add("resumes $resumes/min, retries $retries/min")
+        if (report.refusalsCount > 0) addAll(listOf("", refusals().render()))
+        if (report.probationCount > 0) addAll(listOf("", probation().render()))
+        addAll(listOf("", documentLine()))
+    }
+
+    private fun pools(): TextTable {
+        val columns = arrayOf("pool", "zone", "live", "floor", "free", "an hour", "to floor", "")
+        val table = TextTable(*columns)
+        for (pool in report.poolsList.sortedWith(compareBy({ timeToFloor(it) }, { it.headRoom }))) {
+            table.row(
+                pool.name,
+                pool.failureDomain,
+                "${pool.liveTargets}",
+                "${pool.floorTargets}",
+                percent(pool.headRoom),
+                signedPercent(pool.trendPerHour),
+                timeToFloor(pool).takeIf { it.isFinite() }?.toString() ?: "-",
+                if (pool.liveTargets <= pool.floorTargets) "AT FLOOR" else "",
+            )
+        }
+        return table
+    }
+
+    private fun refusals(): TextTable {
+        val table = TextTable("code", "refusal", "per minute")
+        report.refusalsList.sortedByDescending { it.perMinute }.forEach {
+            table.row("${it.code}", it.name, rate(it.perMinute))
+        }
+        return table
+    }
+
+    private fun probation(): TextTable {
+        val table = TextTable("on probation", "zone", "weight", "reason")
+        report.probationList.sortedBy { it.weight }.forEach {
+            table.row(it.target, it.failureDomain, percent(it.weight), it.reason)
+        }
+        return table
+    }
+
+    private fun documentLine(): String {
+        val newest = HashMap<String, Long>()
+        report.hostsList.forEach { host ->
+            host.inForceMap.forEach { (section, version) ->
+                newest.merge(section, version, ::maxOf)
+            }
+        }
+        val behind = report.hostsList.filter { isBehind(it, newest) }.map { it.host }.sorted()
+        val count = report.hostsCount
+        return if (behind.isEmpty()) {
+            "document: $count hosts alike"
+        } else {
+            "document: ${behind.size} of $count hosts behind: ${behind.joinToString()}"
+        }
+    }
+
+    private fun isBehind(host: HostVersions, newest: Map<String, Long>): Boolean =
+        newest.any { (section, version) -> (host.inForceMap[section] ?: 0) < version }
+
+    private fun timeToFloor(pool: PoolReport): Duration =
+        if (pool.hasTimeToFloor()) pool.timeToFloor.toKotlin() else Duration.INFINITE
+
+    private fun percent(fraction: Double): String = format("%.0f%%", fraction * PERCENT)
+
+    private fun signedPercent(fraction: Double): String = format("%+.1f%%", fraction * PERCENT)
+
+    private fun rate(perMinute: Double): String = format("%.1f", perMinute)
+
+    private fun format(pattern: String, value: Double) = String.format(Locale.ROOT, pattern, value)
+
+    private companion object {
+        const val PERCENT = 100
+    }
+}
