Let a host that joins fetch truncated parts from several peers

Cause: a truncated reply restarted at the roots and peers sent the same first 64 kB; entries were also hashed four times for each update and the expiry walked every entry of every kind. Change: the joiner goes on with the same listings at another peer, peers send parts in random order, a put hashes its name once, expiry walks only unrepaired kinds and retired entries.

--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/EntryTable.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/EntryTable.kt
@@ -1,6 +1,7 @@
 /** The entries that one host holds, with a hash tree for each kind. */
 package burdockspread.spread
 
+import com.google.common.hash.HashFunction
 import com.google.common.hash.Hashing
 import kotlin.time.Instant
 
@@ -13,29 +14,34 @@
         val buckets = Array(HashTree.BUCKETS) { HashMap<String, Held>(0) }
     }
 
+    private val retired = LinkedHashMap<EntryKey, Instant>()
     private val kinds = Array(EntryKind.entries.size) { KindTable() }
 
     var size: Int = 0
         private set
 
-    fun get(key: EntryKey): Entry? = bucket(key)[key.name]?.entry
+    fun get(key: EntryKey): Entry? = bucket(key.kind, bucketOf(key))[key.name]?.entry
 
     fun version(key: EntryKey): Long = get(key)?.version ?: Long.MIN_VALUE
 
     /** Keeps [entry] if its version is higher than the one held, and tells whether it was. */
     fun put(entry: Entry, now: Instant): Boolean {
-        val old = get(entry.key)
+        val index = bucketOf(entry.key)
+        val old = bucket(entry.key.kind, index)[entry.key.name]?.entry
         if (old != null && old.version >= entry.version) return false
-        store(entry, old, now)
+        store(index, entry, old, now)
         return true
     }
 
     /** Retires the unrepaired entries and forgets the retired ones that are older than allowed. */
     fun expire(unrepairedBefore: Instant, retiredBefore: Instant, now: Instant) {
-        for (kind in EntryKind.entries) {
-            for (bucket in kinds[kind.ordinal].buckets) {
-                expireBucket(kind, bucket, unrepairedBefore, retiredBefore, now)
-            }
+        EntryKind.entries.filterNot { it.repaired }.forEach { retire(it, unrepairedBefore, now) }
+        while (retired.isNotEmpty()) {
+            val (key, since) = retired.entries.first()
+            if (since >= retiredBefore) break
+            retired.remove(key)
+            bucket(key.kind, bucketOf(key)).remove(key.name)
+            size--
         }
     }
 
@@ -50,54 +56,42 @@
 
     fun count(node: TreeNode): Int = tree(node.kind).count(node.depth, node.index)
 
-    /** Whether the entry of [key] lies below [node]. */
-    fun isBelow(key: EntryKey, node: TreeNode): Boolean =
-        key.kind == node.kind && bucketOf(key) in HashTree.buckets(node.depth, node.index)
-
-    private fun expireBucket(
-        kind: EntryKind,
-        bucket: HashMap<String, Held>,
-        unrepairedBefore: Instant,
-        retiredBefore: Instant,
-        now: Instant,
-    ) {
-        for (held in bucket.values.toList()) {
-            val entry = held.entry
-            val silent = !kind.repaired && held.since < unrepairedBefore
-            when {
-                !entry.retired && silent ->
-                    store(entry.copy(value = EntryBytes.EMPTY, retired = true), entry, now)
-                entry.retired && held.since < retiredBefore -> {
-                    bucket.remove(entry.key.name)
-                    size--
-                }
+    private fun retire(kind: EntryKind, before: Instant, now: Instant) {
+        kinds[kind.ordinal].buckets.forEachIndexed { index, bucket ->
+            val silent = bucket.values.filter { !it.entry.retired && it.since < before }
+            for (held in silent) {
+                val entry = held.entry.copy(value = EntryBytes.EMPTY, retired = true)
+                store(index, entry, held.entry, now)
             }
         }
     }
 
     /** Retired entries stay out of the hashes, so that hosts may forget them at any time. */
-    private fun store(entry: Entry, old: Entry?, now: Instant) {
-        val bucket = bucketOf(entry.key)
+    private fun store(index: Int, entry: Entry, old: Entry?, now: Instant) {
         val tree = tree(entry.key.kind)
-        if (old != null && !old.retired) tree.remove(bucket, entryHash(old))
-        if (!entry.retired) tree.add(bucket, entryHash(entry))
+        if (old != null && !old.retired) tree.remove(index, entryHash(old))
+        if (!entry.retired) tree.add(index, entryHash(entry))
         if (old == null) size++
-        bucket(entry.key)[entry.key.name] = Held(entry, now)
+        bucket(entry.key.kind, index)[entry.key.name] = Held(entry, now)
+        retired.remove(entry.key)
+        if (entry.retired) retired[entry.key] = now
     }
 
     private fun tree(kind: EntryKind): HashTree = kinds[kind.ordinal].tree
 
-    private fun bucket(key: EntryKey) = kinds[key.kind.ordinal].buckets[bucketOf(key)]
-
-    private fun bucketOf(key: EntryKey): Int = Math.floorMod(nameHash(key.name), HashTree.BUCKETS)
+    private fun bucket(kind: EntryKind, index: Int) = kinds[kind.ordinal].buckets[index]
 
-    private fun nameHash(name: String): Long =
-        Hashing.farmHashFingerprint64().hashString(name, Charsets.UTF_8).asLong()
+    private fun bucketOf(key: EntryKey): Int =
+        Math.floorMod(hashing.hashUnencodedChars(key.name).asLong(), HashTree.BUCKETS)
 
-    private fun entryHash(entry: Entry): Long = Hashing.farmHashFingerprint64()
+    private fun entryHash(entry: Entry): Long = hashing
         .newHasher()
-        .putString(entry.key.name, Charsets.UTF_8)
+        .putUnencodedChars(entry.key.name)
         .putLong(entry.version)
         .hash()
         .asLong()
+
+    private companion object {
+        val hashing: HashFunction = Hashing.farmHashFingerprint64()
+    }
 }
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -14,6 +15,7 @@
     private val fresh = FreshEntries(settings.maxSends, settings.maxKnown)
     private val chooser = PeerChooser(settings)
     private val budget = ByteBudget(settings.bytesPerSecond, settings.burstBytes)
+    private val random = Random(settings.seed)
     private val asked = HashMap<EntryKey, Instant>()
     private var nextRound = Instant.DISTANT_PAST
     private var nextRepair = Instant.DISTANT_PAST
@@ -98,7 +100,7 @@
                 ),
             )
         }
-        if (reply.truncated && reply.entries.isNotEmpty()) effects += repairRound(now)
+        if (reply.truncated && reply.entries.isNotEmpty()) effects += goOn(request, now)
         return effects.toImmutableList()
     }
 
@@ -159,6 +161,15 @@
         return listOf(exchange(peer.host, ExchangeRequest(settings.host, nodes = repair.roots())))
     }
 
+    /** Fetches the rest of a reply that had no room for it, from whichever peer is drawn. */
+    private fun goOn(request: ExchangeRequest, now: Instant): List<SpreadEffect> {
+        val nodes = request.listings.map { it.node }
+        if (nodes.isEmpty()) return repairRound(now)
+        val peer = chooser.forRepair(now) ?: return emptyList()
+        val next = ExchangeRequest(settings.host, listings = repair.listings(nodes))
+        return listOf(exchange(peer.host, next))
+    }
+
     /** Keeps the newer ones and sends them on, unless so many mean that this host was behind. */
     private fun apply(entries: List<Entry>, now: Instant): List<Entry> {
         val applied = entries.filter { table.put(it, now) }
@@ -200,7 +211,9 @@
         if (entries.isEmpty()) return Fitting(persistentListOf(), false)
         var room = minOf(settings.maxMessageBytes.toLong(), budget.available(now))
         if (room <= 0) return Fitting(persistentListOf(), true)
-        val fits = entries.sortedBy { it.key.kind.ordinal }.takeWhile { entry ->
+        // Peers that help the same host at the same time send it different parts.
+        val order = entries.shuffled(random).sortedBy { it.key.kind.ordinal }
+        val fits = order.takeWhile { entry ->
             val before = room
             room -= MessageSize.of(entry)
             before > 0
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/Repair.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/Repair.kt
@@ -69,6 +69,9 @@
     private fun isListable(node: TreeNode): Boolean =
         node.depth == HashTree.MAX_DEPTH || table.count(node) <= LISTABLE_ENTRIES
 
+    fun listings(nodes: List<TreeNode>): ImmutableList<NodeListing> =
+        nodes.map { listing(it) }.toImmutableList()
+
     private fun listing(node: TreeNode): NodeListing =
         NodeListing(node, table.entries(node).map { it.digest }.toImmutableList())
 
