--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/Main.kt
@@ -15,8 +15,9 @@
     println("control may take 28,000 B/s, 1.8 % of a core and 32 MB for each host")
     editTable(0.0)
     editTable(LOSS)
-    trafficTable()
+    healingTable()
     stateTable()
+    trafficTable()
 }
 
 private fun editTable(loss: Double) {
@@ -59,6 +60,16 @@
     }
 }
 
+private fun healingTable() {
+    println()
+    println("Time until all hosts agree after one failure domain was cut off, edits on both sides")
+    println(row("hosts", "cut for", "seconds"))
+    for (hosts in sizes) {
+        val time = SpreadTrial(hosts, SpreadTrial.SEED).healing(60.seconds)
+        println(row(hosts, 60.seconds, seconds(time)))
+    }
+}
+
 private fun stateTable() {
     println()
     println("Heap of the state of one host, all values included")
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/SpreadTrial.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/SpreadTrial.kt
@@ -101,6 +101,25 @@
         )
     }
 
+    /** Time from the end of a cut until both sides hold the same, with edits on both meanwhile. */
+    fun healing(cutFor: Duration): Duration {
+        val workload = Workload(Fleet(hosts), seed)
+        val run = start(Way.CHOSEN, workload, 0.0)
+        run.run(WARM_UP)
+        run.cut += run.fleet.peers.first().domain
+        val outside = run.fleet.peers.last { it.domain !in run.cut }.host
+        val end = run.elapsed + cutFor
+        while (run.elapsed < end) {
+            run.put(run.fleet.peers.first().host, workload.edit())
+            run.put(outside, workload.edit())
+            run.run(EDIT_GAP)
+        }
+        run.cut.clear()
+        val healed = run.elapsed
+        while (!run.agrees() && run.elapsed - healed < HEALING_LIMIT) run.run(HEALING_STEP)
+        return run.elapsed - healed
+    }
+
     private class Pending(val version: Long, val at: Instant, val hosts: HashSet<HostId>)
 
     private fun start(way: Way, workload: Workload, loss: Double): VirtualFleet {
@@ -115,6 +134,8 @@
         private val WARM_UP = 10.seconds
         private val BASELINE_WARM_UP = 3.seconds
         private val EDIT_GAP = 2160.milliseconds
+        private val HEALING_LIMIT = 120.seconds
+        private val HEALING_STEP = 250.milliseconds
         private val DRAIN = 15.seconds
         private const val ORIGIN_STRIDE = 37
         private const val NANOS_PER_SECOND = 1e9
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/VirtualFleet.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/spread/VirtualFleet.kt
@@ -1,8 +1,10 @@
 /** Runs the spread cores of a whole fleet in one process and in virtual time. */
 package burdockspread.bench.spread
 
+import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
 import burdockspread.spread.Entry
+import burdockspread.spread.EntryKind
 import burdockspread.spread.MessageSize
 import burdockspread.spread.Peer
 import burdockspread.spread.SpreadCore
@@ -38,6 +40,9 @@
     private var order = 0L
     private val down = HashSet<HostId>()
 
+    /** Failure domains that reach only themselves. */
+    val cut = HashSet<FailureDomainId>()
+
     val cores = LinkedHashMap<HostId, SpreadCore>()
     val bytes = HashMap<HostId, Long>()
     var messages = 0L
@@ -89,6 +94,14 @@
         nanos = end
     }
 
+    /** Whether all hosts hold the same versions of the document's sections. */
+    fun agrees(): Boolean {
+        val views = cores.values.map { core ->
+            core.entries(EntryKind.SECTION).mapTo(HashSet()) { it.digest }
+        }
+        return views.all { it == views.first() }
+    }
+
     private fun create(peer: Peer) {
         val seeds = fleet.peers.shuffled(random).take(SEEDS)
         val core = maker.make(peer, seeds, random.nextLong())
@@ -130,7 +143,7 @@
         messages++
         largestMessage = maxOf(largestMessage, size)
         bytes.merge(from, size.toLong(), Long::plus)
-        if (to in down || random.nextDouble() < loss) {
+        if (to in down || isCut(from, to) || random.nextDouble() < loss) {
             after(1.seconds) { cores.getValue(from).onFailure(to, now) }
             return
         }
@@ -140,6 +153,12 @@
         }
     }
 
+    private fun isCut(a: HostId, b: HostId): Boolean {
+        val from = places.getValue(a).domain
+        val to = places.getValue(b).domain
+        return from != to && (from in cut || to in cut)
+    }
+
     private companion object {
         const val TICK_MS = 250
         const val SEEDS = 3
