--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/JournalCopies.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/JournalCopies.kt
@@ -13,7 +13,7 @@
  *
  * @property maxBytes memory of all copies.
  * @property keepFinished time for which a finished answer is kept.
- * @property keepIdle time after which an unfinished copy that got no batch may be dropped.
+ * @property keepIdle time for which an unfinished copy that gets no batch is kept.
  */
 public data class CopyLimits(
     public val maxBytes: Long,
@@ -80,11 +80,16 @@
         if (others.isEmpty()) generations.remove(key.request)
     }
 
-    /** Drops finished copies whose time is over. */
+    /** Drops copies whose time is over, finished and idle ones. */
     public fun expire(now: Instant) {
+        dropOlder(finished, limits.keepFinished, now)
+        dropOlder(idle, limits.keepIdle, now)
+    }
+
+    private fun dropOlder(copies: Map<CopyKey, Copy>, keep: Duration, now: Instant) {
         while (true) {
-            val oldest = finished.values.firstOrNull() ?: return
-            if (now - oldest.touched < limits.keepFinished) return
+            val oldest = copies.values.firstOrNull() ?: return
+            if (now - oldest.touched < keep) return
             drop(oldest.key)
         }
     }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/JournalEffect.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/JournalEffect.kt
@@ -22,6 +22,6 @@
     /** A holder has all tokens; callers are told to return and this host forgets the generation. */
     public data class HandedOver(public val holder: HostId) : JournalEffect
 
-    /** No holder took the journal; callers that return get an open restart. */
+    /** No holder has any of the tokens; callers that return get an open restart. */
     public data object HandOverFailed : JournalEffect
 }
--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
@@ -171,10 +171,10 @@
 
     private fun reportHandOver(now: Instant) {
         val limit = handOverBy ?: return
-        val whole = holders.firstOrNull { it.usable && it.acked == log.size && log.size > 0 }
+        val whole = holders.firstOrNull { it.usable && it.acked in 1..log.size && !lacks(it) }
         when {
             whole != null -> effects += JournalEffect.HandedOver(whole.host)
-            now >= limit -> effects += JournalEffect.HandOverFailed
+            now >= limit || log.size == 0 -> effects += JournalEffect.HandOverFailed
             else -> return
         }
         handOverBy = null
