Make a new view and its check from the ones before

Change: only claims that a section did not make before are compared with the others, and maps are persistent, so that only changed elements are replaced. The check of the whole still finds duplicates within one section, which the check before it missed for addresses and API keys. A relay test shows that what peers brought is not read again.

--- a/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentChecker.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentChecker.kt
@@ -7,11 +7,21 @@
     public const val ROOT: String = "root"
 
     /** All problems between [sections], each of which has passed the [SectionReader]. */
-    public fun check(sections: Collection<SectionBody>): List<DocumentProblem> {
+    public fun check(sections: Collection<SectionBody>): List<DocumentProblem> =
+        checkChange(emptyMap(), sections)
+
+    /**
+     * All problems between [after], given that [before] has none. Sections that are the same
+     * objects in both cost little.
+     */
+    internal fun checkChange(
+        before: Map<String, SectionBody>,
+        after: Collection<SectionBody>,
+    ): List<DocumentProblem> {
         val problems = ArrayList<DocumentProblem>()
-        checkListed(sections, problems)
-        checkDuplicates(sections, problems)
-        checkReferences(sections, problems)
+        checkListed(after, problems)
+        checkDuplicates(before, after, problems)
+        checkReferences(after, problems)
         return problems
     }
 
@@ -28,32 +38,26 @@
         }
     }
 
+    /** Only claims that [before] did not hold can clash. */
     private fun checkDuplicates(
-        sections: Collection<SectionBody>,
+        before: Map<String, SectionBody>,
+        after: Collection<SectionBody>,
         problems: MutableList<DocumentProblem>,
     ) {
-        val seen = Seen(problems)
-        for (section in sections) {
-            section.models.forEach { seen.add(section, "model", it.id.value) }
-            section.priorities.forEach { seen.add(section, "priority", it.name.value) }
-            section.services.forEach { seen.add(section, "service", it.id.value) }
-            for (organisation in section.organisations) {
-                seen.add(section, "organisation", organisation.id.value)
-                organisation.apiKeyHashes.forEach { seen.add(section, "API key hash", it) }
+        for (section in after) {
+            val old = before[section.name]
+            if (old === section) continue
+            section.summary.repeated.forEach {
+                problems += DocumentProblem(section.name, "", "$it is there twice")
+            }
+            val added = section.summary.claims.filter { it !in old?.summary?.claims.orEmpty() }
+            for (other in after) {
+                if (other === section) continue
+                added.filter { it in other.summary.claims }.forEach {
+                    val message = "$it is also in section ${other.name}"
+                    problems += DocumentProblem(section.name, "", message)
+                }
             }
-            section.failureDomain?.let { checkDomain(section, it, seen) }
-        }
-    }
-
-    private fun checkDomain(section: SectionBody, domain: FailureDomain, seen: Seen) {
-        seen.add(section, "failure domain", domain.id.value)
-        for (host in domain.hosts) {
-            seen.add(section, "host", host.id.value)
-            seen.add(section, "address", host.peerAddress)
-        }
-        for (target in domain.targets) {
-            seen.add(section, "target", target.id.value)
-            seen.add(section, "address", target.address)
         }
     }
 
@@ -61,38 +65,13 @@
         sections: Collection<SectionBody>,
         problems: MutableList<DocumentProblem>,
     ) {
-        val priorities = sections.flatMap { it.priorities }.mapTo(HashSet()) { it.name }
-        val models = sections.flatMap { it.models }.mapTo(HashSet()) { it.id }
-        val services = sections.flatMap { it.services }.mapTo(HashSet()) { it.id }
+        val known = sections.filter { it.failureDomain == null && it.organisations.isEmpty() }
+            .flatMapTo(HashSet()) { it.summary.claims }
         for (section in sections) {
-            for (organisation in section.organisations) {
-                if (organisation.defaultPriority in priorities) continue
-                val path = "organisations.organisations[${organisation.id}].defaultPriority"
-                problems += unknown(section, path, "priority", organisation.defaultPriority.value)
+            for ((name, path) in section.summary.references) {
+                if (name in known) continue
+                problems += DocumentProblem(section.name, path, "no section describes $name")
             }
-            for (target in section.failureDomain?.targets.orEmpty()) {
-                val path = "failureDomain.targets[${target.id}]"
-                target.models.filterNot { it in models }.forEach {
-                    problems += unknown(section, "$path.models", "model", it.value)
-                }
-                target.service?.takeIf { it !in services }?.let {
-                    problems += unknown(section, "$path.service", "service", it.value)
-                }
-            }
-        }
-    }
-
-    private fun unknown(section: SectionBody, path: String, kind: String, name: String) =
-        DocumentProblem(section.name, path, "no section describes $kind \"$name\"")
-
-    /** Reports names that two places use. */
-    private class Seen(private val problems: MutableList<DocumentProblem>) {
-        private val places = HashMap<String, HashMap<String, String>>()
-
-        fun add(section: SectionBody, kind: String, name: String) {
-            val earlier = places.getOrPut(kind) { HashMap() }.put(name, section.name) ?: return
-            val message = "$kind \"$name\" is also in section $earlier"
-            problems += DocumentProblem(section.name, "", message)
         }
     }
 }
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentView.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/DocumentView.kt
@@ -8,34 +8,31 @@
 import burdockspread.id.ServiceId
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toImmutableList
 
-/** Immutable view of the whole document. Every lookup is one hash lookup and allocates nothing. */
+/**
+ * Immutable view of the whole document. Every lookup is one hash lookup and allocates nothing.
+ *
+ * A view is made from the one before it, so that an edit costs what it changes.
+ */
 // Maps are keyed by strings, since value classes as keys would be boxed on each lookup.
-public class DocumentView private constructor(sections: Collection<SectionBody>) {
-    private val organisationsById: Map<String, Organisation> =
-        sections.flatMap { it.organisations }.associateBy { it.id.value }
-    private val organisationsByKey: Map<String, Organisation> = organisationsById.values
-        .flatMap { org -> org.apiKeyHashes.map { it to org } }
-        .toMap()
-    private val modelsById: Map<String, Model> =
-        sections.flatMap { it.models }.associateBy { it.id.value }
-    private val prioritiesByName: Map<String, Priority> =
-        sections.flatMap { it.priorities }.associateBy { it.name.value }
-    private val servicesById: Map<String, Service> =
-        sections.flatMap { it.services }.associateBy { it.id.value }
-    private val domainsById: Map<String, FailureDomain> =
-        sections.mapNotNull { it.failureDomain }.associateBy { it.id.value }
-    private val hostsById: Map<String, EntryHost> =
-        domainsById.values.flatMap { it.hosts }.associateBy { it.id.value }
-    private val targetsById: Map<String, Target> =
-        domainsById.values.flatMap { it.targets }.associateBy { it.id.value }
-    private val targetsByModel: Map<String, ImmutableList<Target>> = groupByModel()
-    private val targetsByService: Map<String, ImmutableList<Target>> = groupByService()
-
-    /** Whether no section is in force. */
-    public val isEmpty: Boolean = sections.isEmpty()
+public class DocumentView private constructor(
+    private val organisationsById: PersistentMap<String, Organisation> = persistentHashMapOf(),
+    private val organisationsByKey: PersistentMap<String, Organisation> = persistentHashMapOf(),
+    private val modelsById: PersistentMap<String, Model> = persistentHashMapOf(),
+    private val prioritiesByName: PersistentMap<String, Priority> = persistentHashMapOf(),
+    private val servicesById: PersistentMap<String, Service> = persistentHashMapOf(),
+    private val domainsById: PersistentMap<String, FailureDomain> = persistentHashMapOf(),
+    private val hostsById: PersistentMap<String, EntryHost> = persistentHashMapOf(),
+    private val targetsById: PersistentMap<String, Target> = persistentHashMapOf(),
+    private val groups: TargetGroups = TargetGroups.EMPTY,
+) {
+    /** Whether the document names no model, organisation or failure domain. */
+    public val isEmpty: Boolean
+        get() = modelsById.isEmpty() && domainsById.isEmpty() && organisationsById.isEmpty()
 
     /** All organisations. */
     public val organisations: Collection<Organisation> get() = organisationsById.values
@@ -88,30 +85,74 @@
 
     /** Engines that serve the model, leaving ones included. */
     public fun targetsOf(model: ModelId): ImmutableList<Target> =
-        targetsByModel[model.value] ?: persistentListOf()
+        groups.byModel[model.value] ?: persistentListOf()
 
     /** Targets that offer the service, leaving ones included. */
     public fun targetsOf(service: ServiceId): ImmutableList<Target> =
-        targetsByService[service.value] ?: persistentListOf()
-
-    private fun groupByModel(): Map<String, ImmutableList<Target>> {
-        val groups = HashMap<String, MutableList<Target>>()
-        for (target in targetsById.values) {
-            target.models.forEach { groups.getOrPut(it.value) { ArrayList() } += target }
-        }
-        return groups.mapValues { it.value.toImmutableList() }
+        groups.byService[service.value] ?: persistentListOf()
+
+    /** The view after sections with the bodies [old] were replaced by [new]. */
+    internal fun replace(old: List<SectionBody>, new: List<SectionBody>): DocumentView {
+        val oldOrganisations = old.flatMap { it.organisations }
+        val newOrganisations = new.flatMap { it.organisations }
+        val oldDomains = old.mapNotNull { it.failureDomain }
+        val newDomains = new.mapNotNull { it.failureDomain }
+        val domains = domainsById.replace(oldDomains, newDomains) { it.id.value }
+        return DocumentView(
+            organisationsById.replace(oldOrganisations, newOrganisations) { it.id.value },
+            organisationsByKey.replaceKeys(oldOrganisations, newOrganisations),
+            modelsById.replace(
+                old.flatMap {
+                    it.models
+                },
+                new.flatMap { it.models },
+            ) { it.id.value },
+            prioritiesByName.replace(
+                old.flatMap { it.priorities },
+                new.flatMap { it.priorities },
+            ) { it.name.value },
+            servicesById.replace(old.flatMap { it.services }, new.flatMap { it.services }) {
+                it.id.value
+            },
+            domains,
+            hostsById.replace(oldDomains.flatMap { it.hosts }, newDomains.flatMap { it.hosts }) {
+                it.id.value
+            },
+            targetsById.replace(
+                oldDomains.flatMap { it.targets },
+                newDomains.flatMap { it.targets },
+            ) { it.id.value },
+            if (domains === domainsById) groups else TargetGroups.of(domains.values),
+        )
     }
 
-    private fun groupByService(): Map<String, ImmutableList<Target>> = targetsById.values
-        .filter { it.service != null }
-        .groupBy { checkNotNull(it.service).value }
-        .mapValues { it.value.toImmutableList() }
-
     public companion object {
         /** The view of a host that has no document. */
-        public val EMPTY: DocumentView = DocumentView(emptyList())
+        public val EMPTY: DocumentView = DocumentView()
 
         /** Indexes [sections], which have passed the [DocumentChecker]. */
-        public fun of(sections: Collection<SectionBody>): DocumentView = DocumentView(sections)
+        public fun of(sections: Collection<SectionBody>): DocumentView =
+            EMPTY.replace(emptyList(), sections.toList())
+    }
+}
+
+private fun <T> PersistentMap<String, T>.replace(
+    old: List<T>,
+    new: List<T>,
+    key: (T) -> String,
+): PersistentMap<String, T> {
+    if (old.isEmpty() && new.isEmpty()) return this
+    val kept = new.mapTo(HashSet(new.size * 2)) { key(it) }
+    return mutate { map ->
+        old.map(key).filterNot { it in kept }.forEach { map.remove(it) }
+        new.filter { map[key(it)] != it }.forEach { map[key(it)] = it }
     }
 }
+
+private fun PersistentMap<String, Organisation>.replaceKeys(
+    old: List<Organisation>,
+    new: List<Organisation>,
+): PersistentMap<String, Organisation> = mutate { map ->
+    old.forEach { organisation -> organisation.apiKeyHashes.forEach { map.remove(it) } }
+    new.forEach { organisation -> organisation.apiKeyHashes.forEach { map[it] = organisation } }
+}
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/Offers.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/Offers.kt
@@ -39,9 +39,9 @@
     val held = held(section.name)?.version ?: 0
     if (section.version <= held) return Offered(this, OfferResult.Stale(held))
     val candidates = waiting.put(section.name, section)
-    val problems = problemsOf(inForce.putAll(candidates))
+    val problems = problemsOf(inForce, candidates.values)
     val next = if (problems.isEmpty()) {
-        enforce(inForce.putAll(candidates), persistentMapOf())
+        enforce(candidates.values, persistentMapOf())
     } else {
         enforceSome(candidates)
     }
@@ -57,28 +57,33 @@
 private fun DocumentSnapshot.enforceSome(
     candidates: PersistentMap<String, HeldSection>,
 ): DocumentSnapshot {
-    var chosen = inForce
+    val chosen = ArrayList<HeldSection>()
     var rest = candidates
     while (true) {
-        val fitting = rest.values.firstOrNull {
-            problemsOf(chosen.put(it.name, it)).isEmpty()
-        } ?: break
-        chosen = chosen.put(fitting.name, fitting)
+        val fitting = rest.values.firstOrNull { problemsOf(inForce, chosen + it).isEmpty() }
+            ?: break
+        chosen += fitting
         rest = rest.remove(fitting.name)
     }
     return enforce(chosen, rest)
 }
 
 private fun DocumentSnapshot.enforce(
-    sections: PersistentMap<String, HeldSection>,
+    chosen: Collection<HeldSection>,
     rest: PersistentMap<String, HeldSection>,
 ): DocumentSnapshot {
-    val view = if (sections === inForce) view else DocumentView.of(bodies(sections))
-    return DocumentSnapshot(view, sections, rest)
+    val old = chosen.mapNotNull { inForce[it.name]?.body }
+    val next = view.replace(old, chosen.mapNotNull { it.body })
+    return DocumentSnapshot(next, inForce.putAll(chosen.associateBy { it.name }), rest)
 }
 
-private fun problemsOf(sections: Map<String, HeldSection>): List<DocumentProblem> =
-    DocumentChecker.check(bodies(sections))
+private fun problemsOf(
+    inForce: PersistentMap<String, HeldSection>,
+    changed: Collection<HeldSection>,
+): List<DocumentProblem> {
+    val after = inForce.putAll(changed.associateBy { it.name })
+    return DocumentChecker.checkChange(bodies(inForce), bodies(after).values)
+}
 
-private fun bodies(sections: Map<String, HeldSection>): List<SectionBody> =
-    sections.values.mapNotNull { it.body }
+private fun bodies(sections: Map<String, HeldSection>): Map<String, SectionBody> =
+    sections.values.mapNotNull { it.body }.associateBy { it.name }
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/SectionBody.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/SectionBody.kt
@@ -19,7 +19,9 @@
     public val priorities: ImmutableList<Priority> = persistentListOf(),
     public val services: ImmutableList<Service> = persistentListOf(),
     public val failureDomain: FailureDomain? = null,
-)
+) {
+    internal val summary: SectionSummary by lazy { SectionSummary(this) }
+}
 
 /** Team that may edit one section. */
 public data class SectionOwner(public val section: String, public val owner: String)
--- a/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
+++ b/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
@@ -85,6 +85,20 @@
         assertEquals(1, fresh.view().organisations.size)
     }
 
+    @Test
+    fun `a relay does not read what its host got from peers`() = runTest {
+        fixture.start(Documents.priorities("fast"))
+        val holder = DocumentHolder()
+        val first = launch { relay(0, fixture.store, holder, ArrayList()).run() }
+        delay(5.seconds)
+        first.cancel()
+        val before = fixture.store.reads.get()
+        val second = launch { relay(1, fixture.store, holder, ArrayList()).run() }
+        delay(5.seconds)
+        second.cancel()
+        assertEquals(1, fixture.store.reads.get() - before)
+    }
+
     @Test
     fun `two hosts of a failure domain watch, and others after they fail`() {
         val hosts = List(14) { HostId("host-$it") }
--- a/burdock-document-core/src/test/kotlin/burdockspread/document/relay/RacingEditsTest.kt
+++ b/burdock-document-core/src/test/kotlin/burdockspread/document/relay/RacingEditsTest.kt
@@ -33,7 +33,7 @@
     }
 
     @Test
-    fun `fifty editors at once are all accepted`() = runTest {
+    fun `two hundred editors at once are all accepted`() = runTest {
         val fixture = EditorFixture()
         val names = Array(EDITORS) { "team-$it" }
         assertIs<EditResult.Accepted>(fixture.apply(Documents.root(*names)))
@@ -44,11 +44,11 @@
             async { editor.apply(fixture.edit(text)) }
         }.awaitAll()
         assertTrue(results.all { it is EditResult.Accepted }, "$results")
-        assertTrue(currentTime < 30_000, "$currentTime ms")
+        assertTrue(currentTime < 60_000, "$currentTime ms")
     }
 
     private companion object {
-        const val EDITORS = 50
+        const val EDITORS = 200
         const val SCHEDULES = 60
     }
 }
