--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/Admission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/Admission.kt
@@ -50,6 +50,8 @@
     public val maxWait: Duration = 30.seconds,
     /** Wait that outweighs one priority level, so that no level starves. */
     public val levelStep: Duration = 2.seconds,
+    /** Wait that outweighs one more waiting request of the same organisation. */
+    public val organisationStep: Duration = 20.milliseconds,
 )
 
 /** A waiting request. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/PoolQueue.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/PoolQueue.kt
@@ -1,7 +1,9 @@
 /** Waiting requests of one pool, without locks. */
 package burdockspread.admission
 
+import burdockspread.id.OrganisationId
 import burdockspread.route.SendRing
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.ConcurrentSkipListMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -10,6 +12,7 @@
     private val tickets = ConcurrentSkipListMap<QueueKey, Ticket>()
     private val evicted = ConcurrentLinkedQueue<Ticket>()
     private val count = AtomicInteger()
+    private val byOrganisation = ConcurrentHashMap<OrganisationId, Int>()
     private val starts = SendRing()
 
     val size: Int get() = count.get()
@@ -25,15 +28,23 @@
             evicted.add(last)
         }
         tickets[ticket.key] = ticket
+        ticket.request.organisation?.let { byOrganisation.merge(it, 1, Int::plus) }
         return true
     }
 
     fun remove(ticket: Ticket): Boolean {
         if (!tickets.remove(ticket.key, ticket)) return false
         count.decrementAndGet()
+        ticket.request.organisation?.let { id ->
+            byOrganisation.computeIfPresent(id) { _, waiting -> (waiting - 1).takeIf { it > 0 } }
+        }
         return true
     }
 
+    /** Number of waiting requests of [organisation]. */
+    fun waitingOf(organisation: OrganisationId?): Int =
+        organisation?.let { byOrganisation[it] } ?: 0
+
     fun first(): Ticket? = tickets.firstEntry()?.value
 
     fun pollEvicted(): Ticket? = evicted.poll()
--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/QueueKey.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/QueueKey.kt
@@ -2,8 +2,9 @@
 package burdockspread.admission
 
 /**
- * Requests run in the order of [rankMillis]: arrival plus a step for each priority level, so that a
- * lower level is overtaken only by what arrives within its step.
+ * Requests run in the order of [rankMillis]: arrival plus a step for each priority level and for
+ * each waiting request of the same organisation. A request is overtaken only by what arrives
+ * within these steps, so that none starves.
  */
 internal data class QueueKey(val rankMillis: Long, val sequence: Long) : Comparable<QueueKey> {
     override fun compareTo(other: QueueKey): Int {
--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
@@ -32,7 +32,7 @@
             is Either.Left -> return AdmissionDecision.Refuse(chosen.value)
             is Either.Right -> chosen.value
         }
-        val ticket = ticketFor(request, pool, now)
+        val ticket = ticketFor(request, pool, queue, now)
         val first = queue.first()
         val overtakes = first == null || ticket.key < first.key
         if (overtakes && startable(choice)) return runOrRefuse(queue, ticket, choice, now)
@@ -116,9 +116,16 @@
         return maxOf(((queue.ahead(ticket.key) + 1) / rate).seconds, choice.estimate.queue)
     }
 
-    private fun ticketFor(request: RouteRequest, pool: TargetPool, now: Instant): Ticket {
-        val step = options.levelStep.inWholeMilliseconds * request.priorityLevel
-        val key = QueueKey(now.toEpochMilliseconds() + step, sequence.getAndIncrement())
+    private fun ticketFor(
+        request: RouteRequest,
+        pool: TargetPool,
+        queue: PoolQueue,
+        now: Instant,
+    ): Ticket {
+        val waiting = queue.waitingOf(request.organisation)
+        val back = options.levelStep * request.priorityLevel + options.organisationStep * waiting
+        val rank = now.toEpochMilliseconds() + back.inWholeMilliseconds
+        val key = QueueKey(rank, sequence.getAndIncrement())
         return Ticket(request, pool, key, request.deadline ?: (now + options.maxWait))
     }
 
--- /dev/null
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/health/DecayWindow.kt
@@ -0,0 +1,36 @@
+/** Sums over the last minutes, in which old samples fade. */
+package burdockspread.health
+
+internal class DecayWindow {
+    var attempts = 0.0
+        private set
+    private var failures = 0.0
+    private var stalls = 0.0
+    private var firstTokens = 0.0
+    private var firstTokenMillis = 0.0
+    private var decodeTokens = 0.0
+    private var decodeMillis = 0.0
+
+    /** Fades all sums by [factor] and adds [sample]. */
+    fun add(factor: Double, sample: TargetSample?) {
+        attempts = attempts * factor + (sample?.attempts ?: 0)
+        failures = failures * factor + (sample?.failures ?: 0)
+        stalls = stalls * factor + (sample?.stalls ?: 0)
+        firstTokens = firstTokens * factor + (sample?.firstTokens ?: 0)
+        firstTokenMillis = firstTokenMillis * factor + (sample?.firstTokenMillis ?: 0)
+        decodeTokens = decodeTokens * factor + (sample?.decodeTokens ?: 0)
+        decodeMillis = decodeMillis * factor + (sample?.decodeMillis ?: 0)
+    }
+
+    /** Tokens per second, or null with too little to go by. */
+    fun tokenRate(minAttempts: Double): Double? =
+        if (firstTokens < minAttempts || decodeMillis <= 0) null else decodeTokens / decodeMillis
+
+    /** Mean time to the first token in milliseconds, or null with too little to go by. */
+    fun firstTokenTime(minAttempts: Double): Double? =
+        if (firstTokens < minAttempts) null else firstTokenMillis / firstTokens
+
+    fun count(reason: DecayReason): Double = if (reason == DecayReason.STALLS) stalls else failures
+
+    fun rate(reason: DecayReason): Double = if (attempts > 0) count(reason) / attempts else 0.0
+}
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
@@ -19,6 +19,7 @@
     var batchSlots: Int = 1
 
     val report = AtomicReference<LoadReport?>()
+    val samples = SampleCounters()
     val inFlight = AtomicInteger()
     val pendingPromptTokens = AtomicInteger()
     val weight = Average(1.0)
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/RealFlight.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/RealFlight.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.id.TargetId
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Instant
 
 internal class RealFlight(
@@ -14,35 +15,62 @@
 ) : Flight {
     private val prefillEnded = AtomicBoolean()
     private val ended = AtomicBoolean()
+    private val tokens = AtomicInteger()
+
+    @Volatile
+    private var firstTokenMillis = NO_TIME
+
+    @Volatile
+    private var lastTokenMillis = NO_TIME
 
     override val target: TargetId get() = live.id
 
     override fun onFirstToken(now: Instant, cachedTokens: Int?) {
         endPrefill()
         live.connected()
+        val millis = now.toEpochMilliseconds()
+        if (firstTokenMillis == NO_TIME) {
+            firstTokenMillis = millis
+            lastTokenMillis = millis
+            live.samples.firstToken(millis - sentMillis)
+        }
         if (cachedTokens != null && expectedCached > 0) {
             val kept = minOf(cachedTokens, expectedCached) / expectedCached.toDouble()
             live.cacheTrust.add(kept, TRUST_PART)
         }
     }
 
-    override fun onTokens(count: Int, now: Instant) = Unit
+    override fun onTokens(count: Int, now: Instant) {
+        tokens.addAndGet(count)
+        lastTokenMillis = now.toEpochMilliseconds()
+    }
 
     override fun onDone(now: Instant) {
         val millis = now.toEpochMilliseconds()
-        if (end(millis)) live.slotSeconds.add((millis - sentMillis) / MILLIS, SLOT_TIME_PART)
+        if (end(millis)) {
+            live.slotSeconds.add((millis - sentMillis) / MILLIS, SLOT_TIME_PART)
+            live.samples.done()
+        }
         live.connected()
     }
 
     override fun onFailed(failure: FlightFailure, now: Instant) {
         val millis = now.toEpochMilliseconds()
-        if (end(millis) && failure == FlightFailure.NOT_CONNECTED) live.pause(millis, options)
+        if (!end(millis)) return
+        when (failure) {
+            FlightFailure.NOT_CONNECTED -> live.pause(millis, options)
+            FlightFailure.BROKEN -> live.samples.failed(stalled = false)
+            FlightFailure.STALLED -> live.samples.failed(stalled = true)
+            FlightFailure.CANCELLED -> Unit
+        }
     }
 
     private fun end(nowMillis: Long): Boolean {
         endPrefill()
         if (!ended.compareAndSet(false, true)) return false
         live.ended(nowMillis)
+        val after = tokens.get() - 1
+        if (after > 0) live.samples.decoded(after.toLong(), lastTokenMillis - firstTokenMillis)
         return true
     }
 
@@ -56,5 +84,6 @@
         const val TRUST_PART = 0.1
         const val SLOT_TIME_PART = 0.05
         const val MILLIS = 1_000.0
+        const val NO_TIME = -1L
     }
 }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/RouteRequest.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/RouteRequest.kt
@@ -1,6 +1,7 @@
 /** Input and result of one choice of a target. */
 package burdockspread.route
 
+import burdockspread.id.OrganisationId
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.persistentSetOf
@@ -23,6 +24,8 @@
     public val avoid: ImmutableSet<TargetId> = persistentSetOf(),
     /** Time by which the first token is due, or null for none. */
     public val deadline: Instant? = null,
+    /** Organisation that asks; its waiting requests do not push back those of others. */
+    public val organisation: OrganisationId? = null,
 )
 
 /** Expected time to the first token, by its parts. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetRegistry.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetRegistry.kt
@@ -1,6 +1,7 @@
 /** Keeps the live counters of targets while snapshots of pools come and go. */
 package burdockspread.route
 
+import burdockspread.health.TargetSample
 import burdockspread.id.TargetId
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -36,6 +37,10 @@
         targets.keys.retainAll(ids)
     }
 
+    /** What was seen of each target since the last call, for the search for quiet decay. */
+    public fun takeSamples(): List<TargetSample> =
+        targets.values.mapNotNull { it.samples.take(it.id) }
+
     internal fun find(id: TargetId): LiveTarget? = targets[id]
 
     private fun live(id: TargetId): LiveTarget = targets.computeIfAbsent(id) {
--- a/burdock-routing-core/src/test/kotlin/burdockspread/admission/AdmissionTest.kt
+++ b/burdock-routing-core/src/test/kotlin/burdockspread/admission/AdmissionTest.kt
@@ -4,6 +4,7 @@
 import burdockspread.error.Truth
 import burdockspread.id.FailureDomainId
 import burdockspread.id.ModelId
+import burdockspread.id.OrganisationId
 import burdockspread.id.TargetId
 import burdockspread.route.Choice
 import burdockspread.route.Flight
@@ -78,6 +79,27 @@
         assertEquals(ErrorCode.DEADLINE_UNREACHABLE, refusal.code)
     }
 
+    @Test
+    fun `waiting requests of a large organisation do not push back a small one`() {
+        val wide = Admission(chooser, AdmissionOptions(queueBound = 300))
+        fill()
+        repeat(200) {
+            val request = RouteRequest(organisation = OrganisationId("large"))
+            assertIs<AdmissionDecision.Wait>(wide.admit(request, pool, start))
+        }
+        val small = RouteRequest(organisation = OrganisationId("small"))
+        wide.admit(small, pool, start + 1.seconds)
+        val started = ArrayList<RouteRequest>()
+        repeat(60) {
+            flights.removeFirst().onDone(start + 2.seconds)
+            wide.onSlotFreed(pool, start + 2.seconds).forEach {
+                send(assertIs<AdmissionEffect.Run>(it).choice, start + 2.seconds)
+                started += it.ticket.request
+            }
+        }
+        assertTrue(small in started, "not among the first ${started.size}")
+    }
+
     @Test
     fun `a cancelled request leaves the queue once`() {
         fill()
