--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
@@ -35,7 +35,7 @@
         val ticket = ticketFor(request, pool, queue, now)
         val first = queue.first()
         val overtakes = first == null || ticket.key < first.key
-        if (overtakes && startable(choice)) return runOrRefuse(queue, ticket, choice, now)
+        if (overtakes && startable(choice, pool)) return runOrRefuse(queue, ticket, choice, now)
         return waitOrRefuse(queue, ticket, choice, now)
     }
 
@@ -72,13 +72,14 @@
                 val late = now + chosen.value.estimate.firstToken - ticket.deadline
                 when {
                     late > Duration.ZERO -> AdmissionEffect.Refuse(ticket, unreachable(late))
-                    startable(chosen.value) -> AdmissionEffect.Run(ticket, chosen.value)
+                    startable(chosen.value, pool) -> AdmissionEffect.Run(ticket, chosen.value)
                     else -> null
                 }
             }
         }
 
-    private fun startable(choice: Choice): Boolean = choice.estimate.queue <= options.targetQueue
+    private fun startable(choice: Choice, pool: TargetPool): Boolean =
+        choice.estimate.queue <= options.targetQueue && pool.admits()
 
     private fun runOrRefuse(
         queue: PoolQueue,
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/FirstTokenEstimator.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/FirstTokenEstimator.kt
@@ -9,19 +9,33 @@
     private val halfLifeMillis = options.reportHalfLife.inWholeMilliseconds.toDouble()
     private val adapterSeconds = options.adapterLoad.inWholeMilliseconds / MILLIS
 
-    /** Requests at the target now, queued ones included, that [level] has to wait for. */
+    /**
+     * Requests at the target now, queued ones included, that [level] has to wait for.
+     *
+     * A fresh report counts with the own requests since. An old one gives way to the pool's mean,
+     * corrected by the own requests in flight here, which are always known.
+     */
     fun load(member: Member, pool: PoolLoad, level: Int, nowMillis: Long): Double {
         val live = member.live
-        val mean = pool.mean.get() * member.spec.batchSlots
-        val report = live.report.get() ?: return maxOf(mean, live.inFlight.get().toDouble())
+        val own = live.inFlight.get()
+        val usual = pool.mean.get() * member.spec.batchSlots + own - pool.ownMean()
+        val report = live.report.get() ?: return maxOf(usual, own.toDouble())
         val reportedMillis = report.reportedAt.toEpochMilliseconds()
-        val trust = HALF.pow((nowMillis - reportedMillis) / halfLifeMillis)
-        val ahead = report.running + queuedAhead(report, level)
-        val added = live.addedSince(reportedMillis, nowMillis)
-        val expected = ahead * trust + mean * (1 - trust) + added
-        return maxOf(expected, 0.0)
+        val fresh = report.running + queuedAhead(report, level) +
+            live.addedSince(reportedMillis, nowMillis)
+        val trust = trust(report, nowMillis)
+        return maxOf(fresh * trust + usual * (1 - trust), own.toDouble())
     }
 
+    /** Standard error of [load]: an old report says little about what other hosts sent. */
+    fun uncertainty(member: Member, pool: PoolLoad, nowMillis: Long): Double {
+        val trust = member.live.report.get()?.let { trust(it, nowMillis) } ?: 0.0
+        return (1 - trust) * pool.deviation.get() * member.spec.batchSlots
+    }
+
+    private fun trust(report: LoadReport, nowMillis: Long): Double =
+        HALF.pow((nowMillis - report.reportedAt.toEpochMilliseconds()) / halfLifeMillis)
+
     /** Seconds in the target's queue. */
     fun queueSeconds(member: Member, load: Double): Double {
         val slots = member.spec.batchSlots
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
@@ -31,12 +31,14 @@
 
     fun sent(promptTokens: Int, nowMillis: Long) {
         inFlight.incrementAndGet()
+        poolLoad.own.incrementAndGet()
         pendingPromptTokens.addAndGet(promptTokens)
         sends.add(1, nowMillis)
     }
 
     fun ended(nowMillis: Long) {
         inFlight.decrementAndGet()
+        poolLoad.own.decrementAndGet()
         sends.add(-1, nowMillis)
     }
 
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/RealFlight.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/RealFlight.kt
@@ -12,6 +12,7 @@
     private val pendingTokens: Int,
     private val expectedCached: Int,
     private val sentMillis: Long,
+    private val expectedPrefillMillis: Long,
 ) : Flight {
     private val prefillEnded = AtomicBoolean()
     private val ended = AtomicBoolean()
@@ -33,6 +34,8 @@
             firstTokenMillis = millis
             lastTokenMillis = millis
             live.samples.firstToken(millis - sentMillis)
+            val queued = (millis - sentMillis - expectedPrefillMillis) / MILLIS
+            live.poolLoad.window.onQueued(queued, live.poolLoad.own.get(), millis)
         }
         if (cachedTokens != null && expectedCached > 0) {
             val kept = minOf(cachedTokens, expectedCached) / expectedCached.toDouble()
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/RealTargetChooser.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/RealTargetChooser.kt
@@ -43,7 +43,9 @@
         live.sent(pending, millis)
         val blocks = request.blocks
         for (index in 0 until blocks.size) prefixes.put(blocks[index], live.index, millis)
-        return RealFlight(live, options, pending, choice.estimate.cachedTokens, millis)
+        val prefill = choice.estimate.prefill + choice.estimate.load
+        val cached = choice.estimate.cachedTokens
+        return RealFlight(live, options, pending, cached, millis, prefill.inWholeMilliseconds)
     }
 
     override fun onReport(report: LoadReport) {
@@ -52,7 +54,7 @@
             if (last == null || report.reportedAt > last.reportedAt) report else last
         }
         val slots = maxOf(live.batchSlots, 1)
-        live.poolLoad.mean.add(estimator.slotLoad(report, slots), POOL_MEAN_PART)
+        live.poolLoad.add(estimator.slotLoad(report, slots))
     }
 
     override fun onCacheEvent(event: CacheEvent, now: Instant) {
@@ -150,9 +152,14 @@
                 !member.live.paused(nowMillis)
         }
 
-        /** Seconds to the first token; equal ones are told apart by load, then at random. */
+        /**
+         * Seconds to the first token, and a part for a full batch. The load is drawn from its
+         * uncertainty, so that hosts with the same old reports do not all choose the same target.
+         */
         private fun score(member: Member, cached: Double): Double {
-            val load = estimator.load(member, pool.load, request.priorityLevel, nowMillis)
+            val expected = estimator.load(member, pool.load, request.priorityLevel, nowMillis)
+            val error = estimator.uncertainty(member, pool.load, nowMillis)
+            val load = maxOf(expected + error * options.spread * (random.nextDouble() - HALF), 0.0)
             val seconds = estimator.queueSeconds(member, load) +
                 estimator.prefillSeconds(member, request.promptTokens, cached) +
                 estimator.loadSeconds(member, request.adapter)
@@ -175,7 +182,6 @@
         const val HALF = 0.5
         const val GAP_CONFIDENCE = 0.5
         const val TRIES_PER_SAMPLE = 4
-        const val POOL_MEAN_PART = 0.01
 
         /** Score of a full batch against an empty one: a fuller batch gives slower tokens. */
         const val BUSY_SECONDS = 0.1
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/RouteOptions.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/RouteOptions.kt
@@ -17,6 +17,8 @@
     public val remoteMargin: Duration = 100.milliseconds,
     /** Age at which half of a load report's difference from its pool's mean still counts. */
     public val reportHalfLife: Duration = 2.seconds,
+    /** Width of the random part of an expected load, in standard errors. */
+    public val spread: Double = 4.0,
     /** Age at which a record of a cached prefix counts half. */
     public val prefixHalfLife: Duration = 120.seconds,
     /** Expected time to load an adapter that the target lacks. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetPool.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetPool.kt
@@ -33,6 +33,9 @@
     /** Targets in the order of their names. */
     public val targets: List<TargetSpec> get() = members.map { it.spec }
 
+    /** Whether this host may send one more request to the pool without making its queues longer. */
+    internal fun admits(): Boolean = load.window.admits(load.own.get())
+
     internal val everywhere: PoolGroup = PoolGroup(IntArray(members.size) { it })
 
     /** Members of [domain] that have [adapter] loaded, or all of the domain for no adapter. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetRegistry.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/TargetRegistry.kt
@@ -5,6 +5,7 @@
 import burdockspread.id.TargetId
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.math.abs
 
 /** Live counters by target, and the maker of pool snapshots. */
 public class TargetRegistry(private val options: RouteOptions = RouteOptions()) {
@@ -22,6 +23,7 @@
             .sortedBy { it.id.value }
             .map { Member(it, live(it.id)) }
             .toTypedArray()
+        load.size = maxOf(members.size, 1)
         members.forEach {
             it.live.poolLoad = load
             it.live.batchSlots = it.spec.batchSlots
@@ -48,9 +50,32 @@
     }
 }
 
-/** Mean load of a pool, in requests for each batch slot, from the reports of its targets. */
+/** Load of a pool, in requests for each batch slot, from the reports of its targets. */
 internal class PoolLoad {
     val mean = Average(0.0)
+
+    /** Mean distance of the targets' loads from [mean]. */
+    val deviation = Average(0.0)
+
+    /** Own requests in flight. */
+    val own = AtomicInteger()
+
+    val window = SendWindow()
+
+    @Volatile
+    var size: Int = 1
+
+    /** Own requests in flight for each target. */
+    fun ownMean(): Double = own.get() / size.toDouble()
+
+    fun add(slotLoad: Double) {
+        mean.add(slotLoad, MEAN_PART)
+        deviation.add(abs(slotLoad - mean.get()), MEAN_PART)
+    }
+
+    private companion object {
+        const val MEAN_PART = 0.01
+    }
 }
 
 /** A target of a pool with its counters. */
