Compare with peers twice a second and bound every message of the spread

Change: comparison each 0.5 s instead of 1 s; a joiner goes on with the hashes of the nodes it listed; a reply lists as many nodes as fit into a message, beginning at a random one; rounds with nothing but load and demand come each 0.5 s.

--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/FreshEntries.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/FreshEntries.kt
@@ -12,6 +12,9 @@
 
     val size: Int get() = counts.size
 
+    /** Whether some entry is of a kind that nobody publishes again. */
+    val isUrgent: Boolean get() = counts.keys.any { it.kind.repaired }
+
     /** The keys, those of the kinds that matter most first. */
     fun keys(): List<EntryKey> = counts.keys.sortedBy { it.kind.ordinal }
 
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/MessageSize.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/MessageSize.kt
@@ -36,7 +36,8 @@
 
     private fun nodes(nodes: ImmutableList<NodeHash>) = nodes.size * NODE_BYTES
 
-    private fun listings(listings: ImmutableList<NodeListing>) = listings.sumOf { listing ->
+    internal fun of(listing: NodeListing): Int =
         LISTING_BYTES + listing.digests.sumOf { digest(it) }
-    }
+
+    private fun listings(listings: ImmutableList<NodeListing>) = listings.sumOf { of(it) }
 }
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
@@ -11,13 +11,14 @@
 
 internal class RealSpreadCore(private val settings: SpreadSettings) : SpreadCore {
     private val table = EntryTable()
-    private val repair = Repair(table)
+    private val random = Random(settings.seed)
+    private val repair = Repair(table, settings.maxMessageBytes, random)
     private val fresh = FreshEntries(settings.maxSends, settings.maxKnown)
     private val chooser = PeerChooser(settings)
     private val budget = ByteBudget(settings.bytesPerSecond, settings.burstBytes)
-    private val random = Random(settings.seed)
     private val asked = HashMap<EntryKey, Instant>()
     private var nextRound = Instant.DISTANT_PAST
+    private var nextLazyRound = Instant.DISTANT_PAST
     private var nextRepair = Instant.DISTANT_PAST
     private var nextExpiry = Instant.DISTANT_PAST
     private var postponedRounds = 0L
@@ -45,12 +46,14 @@
         if (now < nextRound) return persistentListOf()
         nextRound = now + settings.roundPeriod
         val repairDue = now >= nextRepair
-        if (fresh.size == 0 && !repairDue) return persistentListOf()
+        val freshDue = fresh.isUrgent || fresh.size > 0 && now >= nextLazyRound
+        if (!freshDue && !repairDue) return persistentListOf()
         if (budget.available(now) <= 0) {
             postponedRounds++
             return persistentListOf()
         }
-        val effects = freshRound(now).toMutableList()
+        val effects = mutableListOf<SpreadEffect>()
+        if (freshDue) effects += freshRound(now)
         if (repairDue) effects += repairRound(now)
         return effects.toImmutableList()
     }
@@ -125,7 +128,7 @@
     )
 
     private fun freshRound(now: Instant): List<SpreadEffect> {
-        if (fresh.size == 0) return emptyList()
+        nextLazyRound = now + settings.lazyRoundPeriod
         val peers = chooser.forFresh(now)
         val keys = fresh.keys()
         return peers.map { exchange(it.host, freshRequest(keys)) }
@@ -166,7 +169,7 @@
         val nodes = request.listings.map { it.node }
         if (nodes.isEmpty()) return repairRound(now)
         val peer = chooser.forRepair(now) ?: return emptyList()
-        val next = ExchangeRequest(settings.host, listings = repair.listings(nodes))
+        val next = ExchangeRequest(settings.host, nodes = repair.hashes(nodes))
         return listOf(exchange(peer.host, next))
     }
 
@@ -211,9 +214,7 @@
         if (entries.isEmpty()) return Fitting(persistentListOf(), false)
         var room = minOf(settings.maxMessageBytes.toLong(), budget.available(now))
         if (room <= 0) return Fitting(persistentListOf(), true)
-        // Peers that help the same host at the same time send it different parts.
-        val order = entries.shuffled(random).sortedBy { it.key.kind.ordinal }
-        val fits = order.takeWhile { entry ->
+        val fits = entries.sortedBy { it.key.kind.ordinal }.takeWhile { entry ->
             val before = room
             room -= MessageSize.of(entry)
             before > 0
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/Repair.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/Repair.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
+import kotlin.random.Random
 
 /** What one host answers to a part of the other's tree. */
 internal data class RepairStep(
@@ -13,30 +14,27 @@
 )
 
 /** Walks down the trees where they differ and compares digests at the end. */
-internal class Repair(private val table: EntryTable) {
+internal class Repair(
+    private val table: EntryTable,
+    private val maxMessageBytes: Int,
+    private val random: Random,
+) {
     fun roots(): ImmutableList<NodeHash> = EntryKind.entries
         .filter { it.repaired }
         .map { hashOf(TreeNode(it, 0, 0)) }
         .toImmutableList()
 
     fun compare(nodes: List<NodeHash>, listings: List<NodeListing>): RepairStep {
-        val deeper = mutableListOf<NodeHash>()
-        val listed = mutableListOf<NodeListing>()
-        for (remote in nodes.filter { isValid(it.node) }) {
-            if (table.hash(remote.node) == remote.hash) continue
-            if (isListable(remote.node)) {
-                listed += listing(remote.node)
-            } else {
-                deeper +=
-                    children(remote)
-            }
-        }
+        val differing = nodes.filter { isValid(it.node) && table.hash(it.node) != it.hash }
+        val (listable, others) = differing.partition { isListable(it.node) }
+        val deeper = others.flatMap { children(it) }
         val wanted = mutableListOf<EntryKey>()
         val give = mutableListOf<Entry>()
-        listings.filter { isValid(it.node) }.forEach { compareListing(it, wanted, give) }
+        val valid = listings.filter { isValid(it.node) }
+        rotated(valid).forEach { compareListing(it, wanted, give) }
         return RepairStep(
             deeper.toImmutableList(),
-            listed.toImmutableList(),
+            listings(listable.map { it.node }),
             wanted.toImmutableList(),
             give.toImmutableList(),
         )
@@ -69,8 +67,26 @@
     private fun isListable(node: TreeNode): Boolean =
         node.depth == HashTree.MAX_DEPTH || table.count(node) <= LISTABLE_ENTRIES
 
-    fun listings(nodes: List<TreeNode>): ImmutableList<NodeListing> =
-        nodes.map { listing(it) }.toImmutableList()
+    fun hashes(nodes: List<TreeNode>): ImmutableList<NodeHash> =
+        nodes.map { hashOf(it) }.toImmutableList()
+
+    /** As many listings as fit into a message; later rounds compare the rest. */
+    private fun listings(nodes: List<TreeNode>): ImmutableList<NodeListing> {
+        var room = maxMessageBytes
+        return rotated(nodes)
+            .asSequence()
+            .takeWhile { room > 0 }
+            .map { node -> listing(node).also { room -= MessageSize.of(it) } }
+            .toList()
+            .toImmutableList()
+    }
+
+    /** Peers that help one host at the same time begin at different parts. */
+    private fun <T> rotated(items: List<T>): List<T> {
+        if (items.isEmpty()) return items
+        val start = random.nextInt(items.size)
+        return items.drop(start) + items.take(start)
+    }
 
     private fun listing(node: TreeNode): NodeListing =
         NodeListing(node, table.entries(node).map { it.digest }.toImmutableList())
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/SpreadSettings.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/SpreadSettings.kt
@@ -16,6 +16,7 @@
  * @property seeds hosts to ask while no other is known.
  * @property seed seed of the random choices of peers.
  * @property roundPeriod time between rounds while entries are fresh; call `tick` this often.
+ * @property lazyRoundPeriod time between rounds while only load and demand are fresh.
  * @property repairPeriod time between comparisons of the whole with one peer.
  * @property domainFanout peers in the own failure domain per round with fresh entries.
  * @property acrossFanout peers outside it per round with fresh entries.
@@ -35,7 +36,8 @@
     public val seeds: ImmutableList<Peer> = persistentListOf(),
     public val seed: Long = self.host.value.hashCode().toLong(),
     public val roundPeriod: Duration = 250.milliseconds,
-    public val repairPeriod: Duration = 1.seconds,
+    public val lazyRoundPeriod: Duration = 500.milliseconds,
+    public val repairPeriod: Duration = 500.milliseconds,
     public val domainFanout: Int = 2,
     public val acrossFanout: Int = 1,
     public val inlineBytes: Int = 64,
