--- a/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
+++ b/burdock-generation-core/src/main/kotlin/burdockspread/journal/RealOwnerJournal.kt
@@ -50,13 +50,18 @@
     override fun nextDeadline(): Instant? {
         if (superseded) return null
         if (!copying) return (createdAt + policy.copyAfter).takeIf { finish == null }
-        val timers = holders.mapNotNull { holder ->
-            holder.sentAt?.let { it + policy.ackTimeout }
-                ?: holder.notBefore.takeIf { lacks(holder) }
+        var earliest = handOverBy
+        for (holder in holders) {
+            val due = deadline(holder) ?: continue
+            earliest = earliest?.let { minOf(it, due) } ?: due
         }
-        return (timers + listOfNotNull(handOverBy)).minOrNull()
+        return earliest
     }
 
+    private fun deadline(holder: HolderState): Instant? =
+        holder.sentAt?.let { it + policy.ackTimeout }
+            ?: holder.notBefore.takeIf { lacks(holder) }
+
     private fun proceed(now: Instant) {
         startCopying(now)
         if (copying) holders.forEach { send(it, now) }
@@ -166,10 +171,10 @@
 
     private fun reportHandOver(now: Instant) {
         val limit = handOverBy ?: return
-        val whole = holders.firstOrNull { it.usable && it.acked == log.size && log.size > 0 }
+        val whole = holders.firstOrNull { it.usable && it.acked in 1..log.size && !lacks(it) }
         when {
             whole != null -> effects += JournalEffect.HandedOver(whole.host)
-            now >= limit -> effects += JournalEffect.HandOverFailed
+            now >= limit || log.size == 0 -> effects += JournalEffect.HandOverFailed
             else -> return
         }
         handOverBy = null
--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
@@ -5,17 +5,20 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 internal class RealSpreadCore(private val settings: SpreadSettings) : SpreadCore {
     private val table = EntryTable()
-    private val repair = Repair(table)
+    private val random = Random(settings.seed)
+    private val repair = Repair(table, settings.maxMessageBytes, random)
     private val fresh = FreshEntries(settings.maxSends, settings.maxKnown)
     private val chooser = PeerChooser(settings)
     private val budget = ByteBudget(settings.bytesPerSecond, settings.burstBytes)
     private val asked = HashMap<EntryKey, Instant>()
     private var nextRound = Instant.DISTANT_PAST
+    private var nextLazyRound = Instant.DISTANT_PAST
     private var nextRepair = Instant.DISTANT_PAST
     private var nextExpiry = Instant.DISTANT_PAST
     private var postponedRounds = 0L
@@ -34,17 +37,23 @@
             .toImmutableList()
     }
 
+    override fun load(entries: ImmutableList<Entry>, now: Instant) {
+        entries.forEach { table.put(it, now) }
+    }
+
     override fun tick(now: Instant): ImmutableList<SpreadEffect> {
         expire(now)
         if (now < nextRound) return persistentListOf()
         nextRound = now + settings.roundPeriod
         val repairDue = now >= nextRepair
-        if (fresh.size == 0 && !repairDue) return persistentListOf()
+        val freshDue = fresh.isUrgent || fresh.size > 0 && now >= nextLazyRound
+        if (!freshDue && !repairDue) return persistentListOf()
         if (budget.available(now) <= 0) {
             postponedRounds++
             return persistentListOf()
         }
-        val effects = freshRound(now).toMutableList()
+        val effects = mutableListOf<SpreadEffect>()
+        if (freshDue) effects += freshRound(now)
         if (repairDue) effects += repairRound(now)
         return effects.toImmutableList()
     }
@@ -94,7 +103,7 @@
                 ),
             )
         }
-        if (reply.truncated && reply.entries.isNotEmpty()) effects += repairRound(now)
+        if (reply.truncated && reply.entries.isNotEmpty()) effects += goOn(request, now)
         return effects.toImmutableList()
     }
 
@@ -119,7 +128,7 @@
     )
 
     private fun freshRound(now: Instant): List<SpreadEffect> {
-        if (fresh.size == 0) return emptyList()
+        nextLazyRound = now + settings.lazyRoundPeriod
         val peers = chooser.forFresh(now)
         val keys = fresh.keys()
         return peers.map { exchange(it.host, freshRequest(keys)) }
@@ -155,12 +164,23 @@
         return listOf(exchange(peer.host, ExchangeRequest(settings.host, nodes = repair.roots())))
     }
 
-    /** Keeps the newer ones and lets those that travel everywhere travel on. */
+    /** Fetches the rest of a reply that had no room for it, from whichever peer is drawn. */
+    private fun goOn(request: ExchangeRequest, now: Instant): List<SpreadEffect> {
+        val nodes = request.listings.map { it.node }
+        if (nodes.isEmpty()) return repairRound(now)
+        val peer = chooser.forRepair(now) ?: return emptyList()
+        val next = ExchangeRequest(settings.host, nodes = repair.hashes(nodes))
+        return listOf(exchange(peer.host, next))
+    }
+
+    /** Keeps the newer ones and sends them on, unless so many mean that this host was behind. */
     private fun apply(entries: List<Entry>, now: Instant): List<Entry> {
         val applied = entries.filter { table.put(it, now) }
+        val isNews = applied.size <= MAX_NEWS
         for (entry in applied) {
             asked.remove(entry.key)
-            if (entry.key.kind.scope == EntryScope.EVERYWHERE) fresh.add(entry)
+            val travels = entry.key.kind.scope == EntryScope.EVERYWHERE
+            if (isNews && travels) fresh.add(entry)
         }
         return applied
     }
@@ -230,5 +250,8 @@
 
     private companion object {
         val EXPIRY_PERIOD = 5.seconds
+
+        /** Entries of one message that are still taken for news. */
+        const val MAX_NEWS = 32
     }
 }
