--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/Main.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/Main.kt
@@ -72,7 +72,9 @@
 
 private fun printRetries() {
     println("\nretries: half of the engines are lost for 30 s")
-    println("%-10s %18s %14s %12s".format("budget", "attempts/request", "good in outage", "recovery s"))
+    println(
+        "%-10s %18s %14s %12s".format("budget", "attempts/request", "good in outage", "recovery s"),
+    )
     for (budgeted in listOf(false, true)) {
         val result = RetryTrial(budgeted).run()
         println(
@@ -88,7 +90,15 @@
 
 private fun printCost() {
     println("\ncost of one decision (this machine, one thread, shared with other work)")
-    println("%-10s %14s %14s %14s %14s".format("targets", "choose ns", "choose B", "flight ns", "flight B"))
+    println(
+        "%-10s %14s %14s %14s %14s".format(
+            "targets",
+            "choose ns",
+            "choose B",
+            "flight ns",
+            "flight B",
+        ),
+    )
     FLEET_SIZES.forEach { size ->
         val cost = DecisionCost(size)
         val choice = cost.ofChoice()
