Run the spread, the relay and a steward with the placement duty

Cause: edits reached each host by a watch of its own, membership was the document's alone, and nobody gave orders to engines. Change: entry hosts exchange sections, hosts and targets over gRPC, two hosts of a domain watch the store, refused connections take targets out; burdock-steward holds a lease and brings engines to the document's versions.

--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
@@ -29,6 +29,9 @@
     public val data: String,
     public val at: TimeSource.Monotonic.ValueTimeMark,
 ) {
+    /** Number of tokens that the caller has with this event. */
+    public val tokens: Int get() = id?.substringAfterLast(':')?.toInt() ?: 0
+
     /** Text of the tokens in this event. */
     public val text: String
         get() {
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -26,7 +26,7 @@
     private fun startUp() {
         step("start the stand-ins, ${fleet.layout.entries.size} entry hosts and the document")
         fleet.startStandIns()
-        writeDocument(fleet)
+        fleet.teams.createAll()
         fleet.layout.entries.forEach { fleet.startEntry(it) }
         fleet.awaitReady()
     }
@@ -38,10 +38,15 @@
         var lastToken: TimeSource.Monotonic.ValueTimeMark? = null
         var longestGap = Duration.ZERO
         var seen = 0
+        var killed = false
         val events = caller.stream(first.caller, ask) { event ->
             lastToken?.let { longestGap = maxOf(longestGap, event.at - it) }
             lastToken = event.at
-            if (event.text.isNotEmpty() && ++seen == TOKENS / 2) killServing()
+            seen = maxOf(seen, event.tokens)
+            if (seen >= TOKENS / 2 && !killed) {
+                killed = true
+                killServing()
+            }
             if (seen <= SHOWN || event.text.isEmpty()) println("  id: ${event.id} data: ${event.data}")
         }
         val text = events.joinToString("") { it.text }
@@ -51,7 +56,7 @@
         check("the answer is whole and equal to the reference", text == reference)
         check("the stream ended with [DONE]", events.last().data == "[DONE]")
         check("output went on within $resumeLimit", longestGap < resumeLimit)
-        check("the engine's death was met by another attempt", attempts > 1)
+        check("the engine's death was met by another attempt", killed && attempts > 1)
     }
 
     private fun killServing() {
@@ -104,8 +109,8 @@
     private fun edit() {
         step("edit the document and see the edit in force")
         val ask = Ask("Claim draft:", EDITED_MAX_TOKENS + 1, "demo-edit", stream = false)
-        val result = applyEdit()
-        println("  $result")
+        val result = fleet.teams.edit(fleet.document.models(EDITED_MAX_TOKENS))
+        println(result.text.prependIndent("  "))
         fleet.await("edit in force on every host") {
             fleet.layout.entries.all { caller.whole(it.caller, ask).status == BAD_REQUEST }
         }
@@ -114,8 +119,6 @@
         check("the new limit refuses a longer answer", refusal.body.contains("\"code\":110"))
     }
 
-    private fun applyEdit(): String = editSection(fleet, fleet.document.models(EDITED_MAX_TOKENS))
-
     private fun stop() {
         step("stop the entry hosts by SIGTERM")
         fleet.layout.entries.forEach {
@@ -139,7 +142,7 @@
 
     private companion object {
         const val TOKENS = 100
-        const val SHOWN = 3
+        const val SHOWN = 10
         const val EDITED_MAX_TOKENS = 500
         const val BAD_REQUEST = 400
         const val CONFLICT = 409
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
@@ -27,6 +27,9 @@
 ) : AutoCloseable {
     /** The settings and the document of this fleet. */
     public val document: FleetDocument = FleetDocument(layout)
+
+    /** The teams that edit the document. */
+    public val teams: DocumentTeams = DocumentTeams(this, directory)
     private val processes = LinkedHashMap<String, Process>()
     private val http = HttpClient.newHttpClient()
 
@@ -53,6 +56,13 @@
         start(entry.name, command)
     }
 
+    /** Starts the process of one steward. */
+    public fun startSteward(steward: StewardLayout) {
+        val file = directory.resolve("${steward.name}.json")
+        Files.writeString(file, document.settings(steward))
+        start(steward.name, listOf("$root/bin/burdock-steward", "--config", "$file"))
+    }
+
     /** Waits until all entry hosts are ready. */
     public fun awaitReady() {
         layout.entries.forEach { awaitOk("http://${it.caller}/readyz") }
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
@@ -58,6 +58,21 @@
             """.trimIndent()
     }
 
+    /** Settings of one steward. */
+    public fun settings(steward: StewardLayout): String =
+        """
+        {
+          "host": {
+            "name": "${steward.name}",
+            "failureDomain": "${steward.failureDomain}",
+            "region": "guj-west"
+          },
+          "operatorAddress": "${steward.operator}",
+          "store": {"address": "${layout.store}", "namespace": "demo", "callTimeout": "0.5s"},
+          "duties": {"lease": "3s", "renew": "0.5s", "margin": "0.5s"}
+        }
+        """.trimIndent()
+
     /** All sections, the root first. */
     public fun sections(): List<SectionText> =
         listOf(root(), models(), priorities(), organisations(), services()) +
@@ -105,11 +120,16 @@
     }
 
     /** The section of the models, whose generations may have up to [maxTokens] tokens. */
-    public fun models(maxTokens: Int = DEFAULT_MAX_TOKENS): SectionText {
+    public fun models(
+        maxTokens: Int = DEFAULT_MAX_TOKENS,
+        version: String = "1",
+        floor: Int = 1,
+    ): SectionText {
         val body =
             """
             "models": {"models": [
-              {"name": "burdock-llm", "version": "1", "maxTokens": $maxTokens, "floorTargets": 1}
+              {"name": "burdock-llm", "version": "$version", "maxTokens": $maxTokens,
+               "floorTargets": $floor}
             ]}
             """
         return section("models", "models", body)
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
@@ -20,6 +20,13 @@
     public val address: String = Ports.freeAddress(),
 )
 
+/** One steward of a fleet. */
+public data class StewardLayout(
+    public val name: String,
+    public val failureDomain: String,
+    public val operator: String = Ports.freeAddress(),
+)
+
 /** Where the processes of a fleet listen. */
 public data class FleetLayout(
     public val store: String = Ports.freeAddress(),
--- a/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
+++ b/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
@@ -24,7 +24,7 @@
 
     private fun startAll() {
         fleet.startStandIns()
-        writeDocument(fleet)
+        fleet.teams.createAll()
         layout.entries.forEach { fleet.startEntry(it) }
         fleet.awaitReady()
     }
@@ -50,10 +50,8 @@
         startAll()
         val (first, second) = layout.entries
         val ask = Ask(prompt, 150, "killed-entry")
-        var seen = 0
         val before = caller.stream(first.caller, ask) {
-            seen += if (it.text.isNotEmpty()) 1 else 0
-            if (seen == 60) fleet.kill(first.name)
+            if (it.tokens >= 60) fleet.kill(first.name)
         }
         val held = text(before)
         assertTrue(held.length < reference(150).length, "the entry host died in mid-stream")
@@ -73,14 +71,12 @@
         val held = StringBuilder()
         val paused = CompletableFuture<Unit>()
         val old = CompletableFuture.supplyAsync {
-            var seen = 0
             caller.stream(first.caller, ask) {
                 if (!paused.isDone) {
                     held.append(it.text)
                     last = it.id ?: last
                 }
-                seen += if (it.text.isNotEmpty()) 1 else 0
-                if (seen == 60 && !paused.isDone) {
+                if (it.tokens >= 60 && !paused.isDone) {
                     fleet.signal(first.name, "STOP")
                     paused.complete(Unit)
                 }
@@ -100,9 +96,8 @@
         startAll()
         val entry = layout.entries.first()
         var frozen: EngineLayout? = null
-        var seen = 0
         val events = caller.stream(entry.caller, Ask(prompt, 100, "frozen")) {
-            if (it.text.isNotEmpty() && ++seen == 30) {
+            if (it.tokens >= 30 && frozen == null) {
                 frozen = servingEngine().also { engine -> fleet.signal(engine.name, "STOP") }
             }
         }
@@ -116,9 +111,10 @@
         startAll()
         val entry = layout.entries.first()
         val exit = CompletableFuture<Int>()
-        var seen = 0
+        var asked = false
         val events = caller.stream(entry.caller, Ask(prompt, 100, "drain")) {
-            if (it.text.isNotEmpty() && ++seen == 20) {
+            if (it.tokens >= 20 && !asked) {
+                asked = true
                 CompletableFuture.runAsync { exit.complete(fleet.terminate(entry.name)) }
             }
         }
@@ -126,6 +122,23 @@
         assertEquals(0, exit.join())
     }
 
+    @Test
+    fun `a second steward carries out orders after the first was killed`() {
+        fleet.startStandIns()
+        fleet.teams.createAll()
+        val stewards = listOf("s-1", "s-2").map { StewardLayout(it, "morbi-a") }
+        stewards.forEach { fleet.startSteward(it) }
+        val engine = layout.engines.first().address
+        fun loaded(version: String): Boolean =
+            fleet.get("http://$engine/admin/state").body().contains("\"burdock-llm\":\"$version\"")
+        fleet.await("version 1 loaded") { loaded("1") }
+        val holder = stewards.first { fleet.log(it.name).contains("holds placement") }
+        fleet.kill(holder.name)
+        fleet.teams.edit(fleet.document.models(version = "2", floor = 0))
+        fleet.await("version 2 loaded") { loaded("2") }
+        assertEquals(0, fleet.terminate(stewards.first { it != holder }.name))
+    }
+
     @Test
     fun `with the store away generations go on and bookings are refused as not run`() {
         startAll()
--- a/burdock-entry/src/main/kotlin/burdockspread/call/CallSender.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/call/CallSender.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.document.ServiceCall
 import burdockspread.pool.Route
+import burdockspread.pool.TargetObserver
 import burdockspread.request.ServiceRequest
 import burdockspread.route.FlightFailure
 import burdockspread.target.service.ServiceClient
@@ -11,7 +12,11 @@
 import burdockspread.target.service.ServiceCall as TargetCall
 
 /** Sends calls and tells routing how they ended. */
-internal class CallSender(private val client: ServiceClient, private val time: TimeSource) {
+internal class CallSender(
+    private val client: ServiceClient,
+    private val targets: TargetObserver,
+    private val time: TimeSource,
+) {
     /** Sends [request] to the target of [route], once. */
     suspend fun send(request: ServiceRequest, call: ServiceCall, route: Route): ServiceResult {
         val address = route.target.address
@@ -19,8 +24,14 @@
         val result = client.send(TargetCall(address, call.name, request.body, key, call.timeout))
         val now = time.now()
         when (result) {
-            is ServiceResult.Answered -> route.flight.onDone(now)
-            is ServiceResult.NotSent -> route.flight.onFailed(FlightFailure.NOT_CONNECTED, now)
+            is ServiceResult.Answered -> {
+                targets.answered(route.target.id)
+                route.flight.onDone(now)
+            }
+            is ServiceResult.NotSent -> {
+                targets.refused(route.target.id)
+                route.flight.onFailed(FlightFailure.NOT_CONNECTED, now)
+            }
             is ServiceResult.Unknown -> route.flight.onFailed(FlightFailure.BROKEN, now)
         }
         return result
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -1,12 +1,20 @@
 /** What an entry host shares with the others. */
 package burdockspread.entry
 
+import burdockspread.document.ChangeSink
 import burdockspread.document.DocumentHolder
+import burdockspread.document.DocumentView
+import burdockspread.document.VersionedEntry
+import burdockspread.document.relay.RelayChoice
 import burdockspread.generation.OpenGenerations
 import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
+import burdockspread.id.TargetId
 import burdockspread.journal.CopyLimits
 import burdockspread.journal.CopyPolicy
+import burdockspread.membership.MemberState
+import burdockspread.membership.MembershipSettings
+import burdockspread.membership.MembershipSnapshot
 import burdockspread.peer.CopyHolder
 import burdockspread.peer.HostFilter
 import burdockspread.peer.JournalClient
@@ -16,32 +24,59 @@
 import burdockspread.peer.PeerDirectory
 import burdockspread.peer.PeerReturnFinder
 import burdockspread.peer.PeerServer
+import burdockspread.peer.PresenceRunner
+import burdockspread.peer.SpreadOutput
+import burdockspread.peer.SpreadRunner
+import burdockspread.pool.TargetObserver
 import burdockspread.settings.toKotlin
+import burdockspread.spread.Entry
+import burdockspread.spread.EntryBytes
+import burdockspread.spread.EntryKey
+import burdockspread.spread.EntryKind
+import burdockspread.spread.Peer
+import burdockspread.spread.SpreadSettings
 import burdockspread.stream.CopySender
 import burdockspread.stream.GenerationSession
 import burdockspread.stream.ReturnFinder
 import burdockspread.stream.SessionPlanner
 import burdockspread.time.TimeSource
 import burdockspread.wire.settings.EntrySettings
+import com.google.protobuf.ByteString
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.seconds
 
+/** What the peers' side of an entry host tells the rest of it. */
+internal interface PeerEvents {
+    /** Targets became usable or unusable. */
+    fun targetsChanged()
+
+    /** Another host or the platform asks this host to leave. */
+    fun drainRequested()
+}
+
 /** The peer port, the connections to other hosts and the copies held for them. */
 internal class EntryPeers(
     private val settings: EntrySettings,
-    document: DocumentHolder,
+    private val scope: CoroutineScope,
+    private val document: DocumentHolder,
     open: OpenGenerations<GenerationSession>,
     planner: SessionPlanner,
     time: TimeSource,
-) {
+    events: PeerEvents,
+) : TargetObserver, ChangeSink {
+    private val host = HostId(settings.host.name)
+    private val domain = FailureDomainId(settings.host.failureDomain)
     private val journal = settings.journal
     private val channels = PeerChannels()
     private val directory =
         PeerDirectory(
-            HostId(settings.host.name),
-            FailureDomainId(settings.host.failureDomain),
+            host,
+            domain,
             settings.host.region,
             document::view,
-            HostFilter { true },
+            HostFilter(::isUsable),
         )
     private val client = JournalClient(directory, channels, CALL_TIMEOUT)
 
@@ -68,12 +103,106 @@
     val returns: ReturnFinder =
         PeerReturnFinder(directory, client, held, planner, journal.copies)
 
+    private val spread =
+        SpreadRunner(
+            scope,
+            SpreadSettings(
+                self = Peer(host, domain, settings.host.region),
+                seeds = settings.seedPeersList.map(::seed).toImmutableList(),
+            ),
+            channels,
+            ::addressOf,
+            time,
+            CALL_TIMEOUT,
+        )
+    private val presence =
+        PresenceRunner(
+            scope,
+            MembershipSettings(host, domain, settings.host.region, settings.peerAddress),
+            spread,
+            time,
+            events::targetsChanged,
+            events::drainRequested,
+        )
     private val server =
-        PeerServer(settings.peerAddress, listOf(JournalService(held, open, time)))
+        PeerServer(settings.peerAddress, listOf(JournalService(held, open, time), spread))
+
+    /** Hosts that this one sees, by name, with their states. */
+    val hosts: MembershipSnapshot get() = presence.hosts
 
-    /** Opens the peer port. */
+    /** Opens the peer port and takes part in the spread. */
     fun start() {
+        spread.output = Output()
         server.start()
+        scope.launch { spread.run() }
+        scope.launch { presence.run() }
+    }
+
+    /** Whether this host is one of those that watch the store for its failure domain. */
+    fun isRelay(): Boolean {
+        val live = presence.hosts.usable().filter { it.domain == domain }
+        return RelayChoice.isRelay(host, live.map { it.host })
+    }
+
+    /** Whether [target] may be given new work. */
+    fun takesNewWork(target: TargetId): Boolean = presence.takesNewWork(target)
+
+    /** Takes the targets of the document in force. */
+    fun onDocument(view: DocumentView): Unit = presence.onDocument(view)
+
+    /** Tells the others that this host takes no new work. */
+    fun leave(): Unit = presence.leave()
+
+    /** Tells the others that this process ends. */
+    suspend fun end(): Unit = presence.end()
+
+    override fun publish(entry: VersionedEntry) {
+        val key = EntryKey(EntryKind.SECTION, entry.section)
+        val value = EntryBytes.of(entry.value.toByteArray())
+        spread.put(Entry(key, entry.version, value, retired = entry.value.isEmpty))
+    }
+
+    override fun refused(target: TargetId): Unit = presence.onRefused(target)
+
+    override fun answered(target: TargetId): Unit = presence.onAnswered(target)
+
+    /** A host that membership does not know yet may have started a moment ago. */
+    private fun isUsable(host: HostId): Boolean {
+        val known = presence.hosts
+        return host !in known.members && host !in known.unreachable ||
+            known.state(host) == MemberState.LIVE && host !in known.unreachable
+    }
+
+    private fun seed(address: String): Peer = Peer(HostId(address), domain, settings.host.region)
+
+    /** The address of a host; a seed's name is its address. */
+    private fun addressOf(host: HostId): String? =
+        presence.hosts.members[host]?.address
+            ?: directory.address(host)
+            ?: host.value.takeIf { it in settings.seedPeersList }
+
+    private inner class Output : SpreadOutput {
+        override fun applied(entries: List<Entry>) {
+            entries.forEach { entry ->
+                when (entry.key.kind) {
+                    EntryKind.SECTION -> offer(entry)
+                    EntryKind.HOST, EntryKind.TARGET -> presence.onEntry(entry)
+                    else -> Unit
+                }
+            }
+        }
+
+        override fun answered(host: HostId): Unit = presence.onHostAnswered(host)
+
+        override fun failed(
+            host: HostId,
+            refused: Boolean,
+        ): Unit = presence.onHostFailed(host, refused)
+
+        private fun offer(entry: Entry) {
+            val value = ByteString.copyFrom(entry.value.toByteArray())
+            document.offer(VersionedEntry(entry.key.name, entry.version, value))
+        }
     }
 
     /** Closes the peer port and all connections. */
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -8,9 +8,9 @@
 import burdockspread.document.DocumentHolder
 import burdockspread.document.DocumentListener
 import burdockspread.document.DocumentSnapshot
+import burdockspread.document.DocumentView
 import burdockspread.drain.DrainGate
 import burdockspread.drain.DrainPhase
-import burdockspread.feed.DocumentFeed
 import burdockspread.generation.OpenGenerations
 import burdockspread.generation.TokenTimes
 import burdockspread.http.BodyReader
@@ -34,6 +34,7 @@
 import burdockspread.request.RequestResult
 import burdockspread.request.ServiceRequest
 import burdockspread.settings.ExitCode
+import burdockspread.settings.MonotonicTime
 import burdockspread.settings.toKotlin
 import burdockspread.store.http.HttpObjectStore
 import burdockspread.stream.GenerationHandler
@@ -90,7 +91,8 @@
             settings.journal.maxCopiesMib.toLong() * BYTES_PER_MIB,
         )
     private val planner = SessionPlanner(host, random)
-    private val peers = EntryPeers(settings, document, open, planner, time)
+    private val peers: EntryPeers =
+        EntryPeers(settings, scope, document, open, planner, time, OnPeerEvent())
     private val sessions =
         SessionServices(
             scope,
@@ -101,9 +103,10 @@
             listener,
             peers.copySender,
             peers.copyPolicy,
+            peers,
         )
     private val generations = GenerationHandler(sessions, open, planner, peers.returns)
-    private val sender = CallSender(serviceClient, time)
+    private val sender = CallSender(serviceClient, peers, time)
     private val ledger = ClaimLedger.create("$host-${random.nextLong().toULong()}", store, time)
     private val claimed = RealClaimedCalls(ledger, router, sender, listener, time)
     private val calls = ServiceHandler(router, sender, claimed, listener, time)
@@ -118,7 +121,7 @@
     fun start() {
         server.start()
         peers.start()
-        scope.launch { DocumentFeed(store, ::take, random).run() }
+        scope.launch { RelayDuty(host, store, document, peers).run() }
         scope.launch { ledger.pump() }
         log.info("serving callers on {}", settings.callerAddress)
     }
@@ -130,6 +133,7 @@
     fun drain() {
         if (gate.currentPhase != DrainPhase.SERVING) return
         gate.advance(DrainPhase.LEAVING)
+        peers.leave()
         scope.launch {
             log.info("leaving: {} open requests", gate.openRequests.value)
             delay(settings.drain.notice.toKotlin())
@@ -138,6 +142,7 @@
                 withTimeoutOrNull(settings.drain.deadline.toKotlin()) {
                     gate.openRequests.first { it == 0 }
                 } ?: handOverRest()
+            peers.end()
             stop()
             stopped.complete(if (done == null) ExitCode.DRAIN_INCOMPLETE else ExitCode.OK)
         }
@@ -169,9 +174,36 @@
             is ServiceRequest -> calls.serve(request, chain.context)
         }
 
-    private fun take(value: burdockspread.store.StoredObject) {
-        val result = document.offer(value.key.name, value.version, value.value)
-        log.debug("section {} version {}: {}", value.key.name, value.version, result)
+    private inner class OnApplied : DocumentListener {
+        override fun applied(
+            before: DocumentSnapshot,
+            after: DocumentSnapshot,
+        ) {
+            router.rebuild(after.view)
+            peers.onDocument(after.view)
+            moveFromLeaving(before.view, after.view)
+        }
+    }
+
+    private inner class OnPeerEvent : PeerEvents {
+        override fun targetsChanged(): Unit = router.rebuild(document.view())
+
+        override fun drainRequested(): Unit = drain()
+    }
+
+    /** Streams at a target that begins to leave finish, or move once the drain deadline is over. */
+    private fun moveFromLeaving(
+        before: DocumentView,
+        after: DocumentView,
+    ) {
+        val leaving = after.targets.filter { it.leaving && before.target(it.id)?.leaving != true }
+        if (leaving.isEmpty()) return
+        scope.launch {
+            delay(settings.drain.deadline.toKotlin())
+            generations.runningSessions().forEach { session ->
+                leaving.forEach { session.move(it.id) }
+            }
+        }
     }
 
     private fun server(): EntryServer {
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/RelayDuty.kt
@@ -0,0 +1,42 @@
+/** Watches the store while this host is one of the relays of its failure domain. */
+package burdockspread.entry
+
+import burdockspread.document.DocumentHolder
+import burdockspread.document.relay.DocumentRelay
+import burdockspread.id.HostId
+import burdockspread.store.ObjectStore
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.seconds
+
+/** Starts and stops the relay as the live hosts of the failure domain change. */
+internal class RelayDuty(
+    private val host: HostId,
+    private val store: ObjectStore,
+    private val document: DocumentHolder,
+    private val peers: EntryPeers,
+) {
+    /** Follows the membership until cancelled. */
+    suspend fun run(): Unit =
+        coroutineScope {
+            var relay: Job? = null
+            while (true) {
+                val wanted = peers.isRelay()
+                if (wanted && relay == null) relay = launch { watch() }
+                if (!wanted && relay != null) {
+                    relay.cancelAndJoin()
+                    relay = null
+                }
+                delay(CHECK)
+            }
+        }
+
+    private suspend fun watch(): Unit = DocumentRelay(host, store, document, peers).run()
+
+    private companion object {
+        val CHECK = 1.seconds
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/SpreadRunner.kt
@@ -0,0 +1,135 @@
+/** Runs the spread core of this host. */
+package burdockspread.peer
+
+import burdockspread.id.HostId
+import burdockspread.spread.Entry
+import burdockspread.spread.Peer
+import burdockspread.spread.SpreadCore
+import burdockspread.spread.SpreadEffect
+import burdockspread.spread.SpreadSettings
+import burdockspread.spread.SpreadStats
+import burdockspread.time.TimeSource
+import burdockspread.wire.spread.ExchangeReply
+import burdockspread.wire.spread.ExchangeRequest
+import burdockspread.wire.spread.PushReply
+import burdockspread.wire.spread.PushRequest
+import burdockspread.wire.spread.SpreadPeerGrpcKt
+import io.grpc.Status
+import io.grpc.StatusException
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** What the spread tells its host. Calls come from one thread at a time. */
+internal interface SpreadOutput {
+    /** Entries of other hosts came into force here. */
+    fun applied(entries: List<Entry>)
+
+    /** [host] answered. */
+    fun answered(host: HostId)
+
+    /** [host] did not take the connection ([refused]) or did not answer. */
+    fun failed(
+        host: HostId,
+        refused: Boolean,
+    )
+}
+
+/**
+ * Calls the core from one thread at a time and carries out its effects.
+ *
+ * Also serves the other hosts' calls.
+ */
+internal class SpreadRunner(
+    private val scope: CoroutineScope,
+    private val settings: SpreadSettings,
+    private val channels: PeerChannels,
+    private val addressOf: (HostId) -> String?,
+    private val time: TimeSource,
+    private val timeout: Duration,
+) : SpreadPeerGrpcKt.SpreadPeerCoroutineImplBase() {
+    private val core = SpreadCore.factory.create(settings)
+
+    /** This host. */
+    val self: HostId get() = settings.self.host
+
+    /** Runs what must not run beside a call of the core. */
+    val thread = Dispatchers.Default.limitedParallelism(1)
+
+    /** Takes what comes in; set before [run]. */
+    lateinit var output: SpreadOutput
+
+    /** Sends what is due until cancelled. */
+    suspend fun run() {
+        while (true) {
+            withContext(thread) { perform(core.tick(time.now())) }
+            delay(settings.roundPeriod)
+        }
+    }
+
+    /** Puts an entry of this host. */
+    fun put(entry: Entry) {
+        scope.launch(thread) { perform(core.localPut(entry, time.now())) }
+    }
+
+    /** Sets the hosts to exchange with. To be called on [thread]. */
+    fun setPeers(peers: List<Peer>): Unit = core.onPeers(peers.toImmutableList())
+
+    /** Figures of the core. */
+    suspend fun stats(): SpreadStats = withContext(thread) { core.stats() }
+
+    override suspend fun exchange(request: ExchangeRequest): ExchangeReply =
+        withContext(thread) {
+            val handled = core.onExchange(request.toExchangeRequest(), time.now())
+            perform(handled.effects)
+            handled.reply.toMessage()
+        }
+
+    override suspend fun push(request: PushRequest): PushReply =
+        withContext(thread) {
+            perform(core.onPush(request.toPushRequest(), time.now()))
+            PushReply.getDefaultInstance()
+        }
+
+    private fun perform(effects: List<SpreadEffect>) {
+        effects.forEach { effect ->
+            when (effect) {
+                is SpreadEffect.SendExchange -> scope.launch(thread) { send(effect) }
+                is SpreadEffect.SendPush -> scope.launch(thread) { send(effect) }
+                is SpreadEffect.Applied -> output.applied(effect.entries)
+            }
+        }
+    }
+
+    private suspend fun send(effect: SpreadEffect.SendExchange) {
+        val reply = ask(effect.to) { it.exchange(effect.request.toMessage()) } ?: return
+        perform(core.onReply(effect.to, effect.request, reply.toExchangeReply(), time.now()))
+    }
+
+    private suspend fun send(effect: SpreadEffect.SendPush) {
+        ask(effect.to) { it.push(effect.request.toMessage()) }
+    }
+
+    private suspend fun <R : Any> ask(
+        host: HostId,
+        call: suspend (SpreadPeerGrpcKt.SpreadPeerCoroutineStub) -> R,
+    ): R? {
+        val address = addressOf(host) ?: return null
+        val stub =
+            SpreadPeerGrpcKt
+                .SpreadPeerCoroutineStub(channels.to(address))
+                .withDeadlineAfter(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return try {
+            call(stub).also { output.answered(host) }
+        } catch (e: StatusException) {
+            core.onFailure(host, time.now())
+            output.failed(host, refused = e.status.code == Status.Code.UNAVAILABLE)
+            null
+        }
+    }
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
@@ -117,7 +117,7 @@
 
         suspend fun on(event: EngineEvent) {
             when (event) {
-                is EngineEvent.Opened -> Unit
+                is EngineEvent.Opened -> services.targets.answered(route.target.id)
                 is EngineEvent.Tokens -> tokens(event)
                 is EngineEvent.Finished -> finished(event)
                 is EngineEvent.Failed -> broken(event)
@@ -142,6 +142,7 @@
 
         private suspend fun broken(event: EngineEvent.Failed) {
             val unreachable = event.cause == EngineFailure.UNREACHABLE
+            if (unreachable) services.targets.refused(route.target.id)
             val failure = if (unreachable) FlightFailure.NOT_CONNECTED else FlightFailure.BROKEN
             route.flight.onFailed(failure, services.time.now())
             failed(attempt, route.target.id, causeOf(event.cause))
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/SessionServices.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/SessionServices.kt
@@ -8,6 +8,7 @@
 import burdockspread.journal.JournalBatch
 import burdockspread.journal.RequestKey
 import burdockspread.observe.EntryListener
+import burdockspread.pool.TargetObserver
 import burdockspread.pool.TargetRouter
 import burdockspread.target.engine.EngineClient
 import burdockspread.time.TimeSource
@@ -36,4 +37,5 @@
     val listener: EntryListener,
     val copies: CopySender,
     val copyPolicy: CopyPolicy,
+    val targets: TargetObserver,
 )
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/engine/EngineServer.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/engine/EngineServer.kt
@@ -24,6 +24,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import java.io.Writer
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -38,7 +39,7 @@
     private val cache = PrefixCache(options.cacheBlocks)
     private val fault = AtomicReference(EngineFault.NONE)
     private val fencingToken = AtomicLong()
-    private val loaded = AtomicReference("")
+    private val models = ConcurrentHashMap<String, String>()
     private val generated = AtomicLong()
     private val requests = AtomicInteger()
 
@@ -49,7 +50,7 @@
                 post("/v1/completions") { complete(chat = false) }
                 post("/v1/chat/completions") { complete(chat = true) }
                 post("/admin/orders") { order() }
-                get("/admin/state") { call.respondText(loaded.get()) }
+                get("/admin/state") { call.respondText(state(), ContentType.Application.Json) }
                 get("/metrics") { call.respondText(metrics()) }
                 get("/health") { call.respondText("ok") }
             }
@@ -152,10 +153,17 @@
             call.respondText("fenced by $newest", status = HttpStatusCode.Conflict)
             return
         }
-        loaded.set(body["desired"].toString())
+        val desired = body.getValue("desired").jsonObject
+        desired["load"]?.let { models[it.jsonPrimitive.content] = desired.text("version") }
+        desired["unload"]?.let { models.remove(it.jsonPrimitive.content) }
         call.respondText("{}", ContentType.Application.Json)
     }
 
+    private fun state(): String {
+        val served = models.entries.joinToString { """"${it.key}":"${it.value}"""" }
+        return """{"models":{$served}}"""
+    }
+
     private fun metrics(): String =
         """
         vllm:num_requests_running ${slots.running}
--- /dev/null
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/LeaseStore.kt
@@ -0,0 +1,59 @@
+/** Reads and writes lease objects in the store. */
+package burdockspread.steward
+
+import burdockspread.duty.Duty
+import burdockspread.duty.LeaseEffect
+import burdockspread.duty.LeaseRead
+import burdockspread.duty.LeaseRecord
+import burdockspread.json.SchemaJson
+import burdockspread.settings.toKotlin
+import burdockspread.store.ObjectKey
+import burdockspread.store.ObjectStore
+import burdockspread.store.ReadResult
+import burdockspread.store.ResolvedWrite
+import burdockspread.store.ResolvingStore
+import burdockspread.store.StoredObject
+import burdockspread.wire.duty.Lease
+import burdockspread.wire.duty.lease
+import com.google.protobuf.Duration as DurationMessage
+
+/** Keeps leases as objects of kind `leases`. */
+internal class LeaseStore(
+    private val store: ObjectStore,
+    private val resolving: ResolvingStore = ResolvingStore(store),
+) {
+    /** The lease object of [duty]. */
+    suspend fun read(duty: Duty): LeaseRead =
+        when (val read = store.get(keyOf(duty))) {
+            is ReadResult.Found -> found(read.value)
+            is ReadResult.Missing -> LeaseRead.Missing
+            is ReadResult.Unavailable -> LeaseRead.Unavailable
+        }
+
+    /** Carries out [write]. */
+    suspend fun write(write: LeaseEffect.Write): ResolvedWrite {
+        val value = SchemaJson.writeLine(toMessage(write.record))
+        return resolving.put(keyOf(write.duty), value, write.condition, write.writeId)
+    }
+
+    /** An object that is not a lease is treated as out of reach, so that nobody acts on it. */
+    private fun found(value: StoredObject): LeaseRead =
+        SchemaJson.read(value.value, Lease.getDefaultInstance()).fold(
+            { LeaseRead.Unavailable },
+            {
+                val record =
+                    LeaseRecord(it.holder.ifEmpty { null }, it.duration.toKotlin(), it.token)
+                LeaseRead.Found(value.version, value.writeId, record)
+            },
+        )
+
+    private fun toMessage(record: LeaseRecord): Lease =
+        lease {
+            holder = record.holder.orEmpty()
+            duration =
+                DurationMessage.newBuilder().setSeconds(record.duration.inWholeSeconds).build()
+            token = record.token
+        }
+
+    private fun keyOf(duty: Duty): ObjectKey = ObjectKey(Duty.OBJECT_KIND, duty.name)
+}
--- /dev/null
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/Main.kt
@@ -0,0 +1,16 @@
+/** Starts `burdock-steward`. */
+package burdockspread.steward
+
+import burdockspread.settings.DaemonCommand
+import burdockspread.settings.runDaemon
+import burdockspread.settings.stewardSettings
+import com.github.ajalt.clikt.core.main
+
+/** Entry point of `burdock-steward`. */
+public fun main(args: Array<String>) {
+    val about = "Holds the placement duty of its failure domain and gives orders to engines."
+    DaemonCommand("burdock-steward", about, stewardSettings) { settings ->
+        val process = StewardProcess(settings)
+        runDaemon(process::start, process::stop, process::awaitStop)
+    }.main(args)
+}
--- /dev/null
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/StewardProcess.kt
@@ -0,0 +1,107 @@
+/** One running steward: wires the parts together. */
+package burdockspread.steward
+
+import burdockspread.document.DocumentHolder
+import burdockspread.document.relay.DocumentRelay
+import burdockspread.duty.Candidate
+import burdockspread.duty.CandidateId
+import burdockspread.duty.Duty
+import burdockspread.duty.LeaseSettings
+import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
+import burdockspread.settings.ExitCode
+import burdockspread.settings.MonotonicTime
+import burdockspread.settings.toKotlin
+import burdockspread.store.http.HttpObjectStore
+import burdockspread.target.order.HttpOrderClient
+import burdockspread.wire.settings.StewardSettings
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.seconds
+
+/** Holds the placement duty of its failure domain, if it gets the lease. */
+internal class StewardProcess(
+    private val settings: StewardSettings,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val thread = Dispatchers.Default.limitedParallelism(1)
+    private val time = MonotonicTime()
+    private val host = HostId(settings.host.name)
+    private val domain = FailureDomainId(settings.host.failureDomain)
+    private val store =
+        HttpObjectStore(
+            settings.store.address,
+            settings.store.namespace,
+            settings.store.callTimeout.toKotlin(),
+        )
+    private val document = DocumentHolder()
+    private val duty = Duty.placement(domain)
+    private val leaseSettings =
+        LeaseSettings(
+            duration = settings.duties.lease.toKotlin(),
+            margin = settings.duties.margin.toKotlin(),
+            renewPeriod = settings.duties.renew.toKotlin(),
+        )
+    private val duties: DutyRunner =
+        DutyRunner(
+            scope,
+            thread,
+            CandidateId(host, time.now().toEpochMilliseconds()),
+            Candidate(host, domain),
+            duty,
+            leaseSettings,
+            LeaseStore(store),
+            time,
+        )
+    private val orders = HttpOrderClient(ORDER_TIMEOUT)
+    private val placement: PlacementRunner =
+        PlacementRunner(scope, thread, domain, document::view, duties, orders, time)
+    private val stopping = AtomicBoolean()
+    private val stopped = CompletableDeferred<ExitCode>()
+    private val server: StewardServer =
+        StewardServer(settings.operatorAddress) {
+            StewardDump(
+                settings.host.name,
+                settings.host.failureDomain,
+                duty.name,
+                duties.held()?.token,
+                document.versions().inForce,
+                placement.status,
+            )
+        }
+
+    /** Opens the operators' port and begins to ask for the duty. */
+    fun start() {
+        server.start(::stop)
+        scope.launch { DocumentRelay(host, store, document) { }.run() }
+        scope.launch { duties.run() }
+        scope.launch { placement.run() }
+    }
+
+    /** Waits until the process has ended. */
+    suspend fun awaitStop(): ExitCode = stopped.await()
+
+    /** Gives the duty back and ends, once. */
+    fun stop() {
+        if (!stopping.compareAndSet(false, true)) return
+        scope.launch {
+            withTimeoutOrNull(RELEASE_LIMIT) { duties.release() }
+            server.stop()
+            orders.close()
+            store.close()
+            stopped.complete(ExitCode.OK)
+            scope.cancel()
+        }
+    }
+
+    private companion object {
+        val ORDER_TIMEOUT = 2.seconds
+        val RELEASE_LIMIT = 3.seconds
+    }
+}
--- /dev/null
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/StewardServer.kt
@@ -0,0 +1,95 @@
+/** The operators' port of a steward. */
+package burdockspread.steward
+
+import burdockspread.order.PlacementStatus
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** The state of a steward at one moment. */
+internal data class StewardDump(
+    val host: String,
+    val failureDomain: String,
+    val duty: String,
+    val fencingToken: Long?,
+    val sections: Map<String, Long>,
+    val placement: PlacementStatus,
+)
+
+@Serializable
+private data class DumpJson(
+    val host: String,
+    val failureDomain: String,
+    val duty: String,
+    val fencingToken: Long?,
+    val sections: Map<String, Long>,
+    val targets: Int,
+    val targetsBehind: Int,
+    val ordersInFlight: Int,
+    val heldByFloor: Int,
+    val heldByLoads: Int,
+    val targetsUnseen: Int,
+)
+
+/** Serves health, the state dump and the order to stop. */
+internal class StewardServer(
+    private val address: String,
+    private val dump: () -> StewardDump,
+) {
+    private lateinit var onDrain: () -> Unit
+
+    private val server =
+        embeddedServer(Netty, address.substringAfterLast(':').toInt(), address.substringBeforeLast(':')) {
+            routing {
+                get("/healthz") { call.respondText("ok") }
+                get("/readyz") { call.respondText("ready") }
+                get("/state") { call.respondText(state(), ContentType.Application.Json) }
+                post("/drain") {
+                    onDrain()
+                    call.respondText("{}", ContentType.Application.Json, HttpStatusCode.Accepted)
+                }
+            }
+        }
+
+    /** Opens the port; [drain] is called when an operator asks the process to stop. */
+    fun start(drain: () -> Unit) {
+        onDrain = drain
+        server.start(wait = false)
+    }
+
+    /** Closes the port. */
+    fun stop() {
+        server.stop(0, STOP_MILLIS)
+    }
+
+    private fun state(): String {
+        val now = dump()
+        return json.encodeToString(
+            DumpJson(
+                now.host,
+                now.failureDomain,
+                now.duty,
+                now.fencingToken,
+                now.sections,
+                now.placement.targets,
+                now.placement.behind,
+                now.placement.inFlight,
+                now.placement.heldByFloor,
+                now.placement.heldByLoads,
+                now.placement.unseen,
+            ),
+        )
+    }
+
+    private companion object {
+        const val STOP_MILLIS = 1_000L
+        val json = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -0,0 +1,83 @@
+/** Client of engines' orders over HTTP. */
+package burdockspread.target.order
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.coroutines.CancellationException
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.io.Closeable
+import java.net.ConnectException
+import kotlin.time.Duration
+
+/** Speaks `POST /admin/orders` and `GET /admin/state`; no call takes longer than [timeout]. */
+public class HttpOrderClient(
+    timeout: Duration,
+) : OrderClient,
+    Closeable {
+    @Serializable
+    private data class StateJson(
+        val models: Map<String, String> = emptyMap(),
+    )
+
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            install(HttpTimeout) {
+                connectTimeoutMillis = timeout.inWholeMilliseconds
+                requestTimeoutMillis = timeout.inWholeMilliseconds
+            }
+        }
+
+    override suspend fun send(call: OrderCall): OrderAnswer =
+        try {
+            val response =
+                client.post("http://${call.address}/admin/orders") {
+                    contentType(ContentType.Application.Json)
+                    setBody("""{"fencing_token":${call.fencingToken},"desired":${call.desired}}""")
+                }
+            when {
+                response.status.isSuccess() -> OrderAnswer.Accepted
+                response.status == HttpStatusCode.Conflict -> OrderAnswer.Fenced
+                else -> OrderAnswer.Failed("status ${response.status.value}")
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: ConnectException) {
+            OrderAnswer.Failed(e.message.orEmpty())
+        } catch (e: ConnectTimeoutException) {
+            OrderAnswer.Failed(e.message.orEmpty())
+        } catch (e: Exception) {
+            OrderAnswer.Unknown(e.message.orEmpty())
+        }
+
+    override suspend fun state(address: String): EngineState? =
+        try {
+            val response = client.get("http://$address/admin/state")
+            val state = json.decodeFromString<StateJson>(response.bodyAsText())
+            EngineState(state.models.toImmutableMap()).takeIf { response.status.isSuccess() }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            null
+        }
+
+    override fun close() {
+        client.close()
+    }
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
