--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineLoss.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineLoss.kt
@@ -3,6 +3,8 @@
 
 import burdockspread.generation.AttemptBudget
 import burdockspread.generation.TokenTimes
+import burdockspread.journal.CopyPolicy
+import burdockspread.recovery.RecoveryMode
 import burdockspread.recovery.RecoveryPolicy
 import kotlin.random.Random
 import kotlin.time.Instant
@@ -43,26 +45,53 @@
     fun print() {
         println("Engine losses: $GENERATIONS long generations for each row")
         println(
-            "policy           deaths/h  losses  whole  resume p50  resume p99  " +
-                "twice/token  read/token  extra/request  extra/loss",
+            "policy           deaths/h  losses  whole  resume p50  resume p99  twice/token  " +
+                "read/token  extra/request  extra/loss  copied B/token  state B/open",
         )
+        val fast = CopyCost.of(RecoveryMode.SIDE_BY_SIDE)
+        val saving = CopyCost.of(RecoveryMode.SAVE_RESOURCES)
         DEATHS_PER_HOUR.forEach { rate ->
-            row("latency first", rate, core(EngineModel.LATENCY_FIRST, rate))
-            row("resources first", rate, core(EngineModel.RESOURCES_FIRST, rate))
-            row("naive", rate, naive(rate))
+            row("latency first", rate, core(EngineModel.LATENCY_FIRST, rate), fast)
+            row("resources first", rate, core(EngineModel.RESOURCES_FIRST, rate), saving)
+            row("naive", rate, naive(rate), CopyCost.NONE)
         }
         println()
     }
 
-    private fun row(name: String, rate: Double, figures: EngineFigures) = println(
-        "%-16s %8.0f %7d %6d %8d ms %8d ms %12.4f %11.4f %14.4f %11.2f".format(
-            name, rate, figures.losses, figures.completed,
-            figures.p50.inWholeMilliseconds, figures.p99.inWholeMilliseconds,
-            figures.generatedTwicePerToken, figures.readAgainPerToken,
-            figures.extraPerRequest, figures.extraPerLoss,
+    private fun row(name: String, rate: Double, figures: EngineFigures, cost: CopyCost) = println(
+        "%-16s %8.0f %7d %6d %8d ms %8d ms %12.4f %11.4f %14.4f %11.2f %15.1f %13d".format(
+            name,
+            rate,
+            figures.losses,
+            figures.completed,
+            figures.p50.inWholeMilliseconds,
+            figures.p99.inWholeMilliseconds,
+            figures.generatedTwicePerToken,
+            figures.readAgainPerToken,
+            figures.extraPerRequest,
+            figures.extraPerLoss,
+            cost.bytesPerToken,
+            cost.stateBytes,
         ),
     )
 
+    /**
+     * What copies cost, whether or not engines die.
+     *
+     * @property stateBytes log and copy of a long generation half way.
+     */
+    private class CopyCost(val bytesPerToken: Double, val stateBytes: Long) {
+        companion object {
+            private const val HALF_WAY = (EngineModel.SHORTEST + EngineModel.LONGEST) / 4
+            val NONE = CopyCost(0.0, Slopes.logBytes(HALF_WAY))
+
+            fun of(mode: RecoveryMode) = CopyCost(
+                CopyAge.mix(CopyPolicy.of(mode)).bytesPerToken,
+                Slopes.logBytes(HALF_WAY) + Slopes.copyBytes(HALF_WAY),
+            )
+        }
+    }
+
     /** A budget that grows by a share of the requests. */
     private class ShareBudget : AttemptBudget {
         private var left = BURST
--- a/burdock-generation-core/src/test/kotlin/burdockspread/generation/TokenLogTest.kt
+++ b/burdock-generation-core/src/test/kotlin/burdockspread/generation/TokenLogTest.kt
@@ -1,7 +1,7 @@
 package burdockspread.generation
 
-import org.jetbrains.lincheck.datastructures.StressOptions
 import org.jetbrains.lincheck.datastructures.Operation
+import org.jetbrains.lincheck.datastructures.StressOptions
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
