--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
@@ -32,10 +32,10 @@
             is Either.Left -> return AdmissionDecision.Refuse(chosen.value)
             is Either.Right -> chosen.value
         }
-        val ticket = ticketFor(request, pool, now)
+        val ticket = ticketFor(request, pool, queue, now)
         val first = queue.first()
         val overtakes = first == null || ticket.key < first.key
-        if (overtakes && startable(choice)) return runOrRefuse(queue, ticket, choice, now)
+        if (overtakes && startable(choice, pool)) return runOrRefuse(queue, ticket, choice, now)
         return waitOrRefuse(queue, ticket, choice, now)
     }
 
@@ -72,13 +72,14 @@
                 val late = now + chosen.value.estimate.firstToken - ticket.deadline
                 when {
                     late > Duration.ZERO -> AdmissionEffect.Refuse(ticket, unreachable(late))
-                    startable(chosen.value) -> AdmissionEffect.Run(ticket, chosen.value)
+                    startable(chosen.value, pool) -> AdmissionEffect.Run(ticket, chosen.value)
                     else -> null
                 }
             }
         }
 
-    private fun startable(choice: Choice): Boolean = choice.estimate.queue <= options.targetQueue
+    private fun startable(choice: Choice, pool: TargetPool): Boolean =
+        choice.estimate.queue <= options.targetQueue && pool.admits()
 
     private fun runOrRefuse(
         queue: PoolQueue,
@@ -116,9 +117,16 @@
         return maxOf(((queue.ahead(ticket.key) + 1) / rate).seconds, choice.estimate.queue)
     }
 
-    private fun ticketFor(request: RouteRequest, pool: TargetPool, now: Instant): Ticket {
-        val step = options.levelStep.inWholeMilliseconds * request.priorityLevel
-        val key = QueueKey(now.toEpochMilliseconds() + step, sequence.getAndIncrement())
+    private fun ticketFor(
+        request: RouteRequest,
+        pool: TargetPool,
+        queue: PoolQueue,
+        now: Instant,
+    ): Ticket {
+        val waiting = queue.waitingOf(request.organisation)
+        val back = options.levelStep * request.priorityLevel + options.organisationStep * waiting
+        val rank = now.toEpochMilliseconds() + back.inWholeMilliseconds
+        val key = QueueKey(rank, sequence.getAndIncrement())
         return Ticket(request, pool, key, request.deadline ?: (now + options.maxWait))
     }
 
