Shorten the slow tests of generations to their time limits

Cause: on the busy machine the token log's stress test took 25 s and GenerationBoundsTest 26 s. The printed benchmark keeps its sizes.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineLoss.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/generation/EngineLoss.kt
@@ -19,13 +19,17 @@
     const val BUDGET_SHARE = 0.1
     private const val BURST = 50.0
 
-    fun core(policy: RecoveryPolicy, deathsPerHour: Double): EngineFigures {
+    fun core(
+        policy: RecoveryPolicy,
+        deathsPerHour: Double,
+        generations: Int = GENERATIONS,
+    ): EngineFigures {
         val engines = EngineModel(Random(EngineModel.SEED))
         val figures = EngineFigures()
         val budget = ShareBudget()
         val times = TokenTimes()
         var now = Instant.fromEpochSeconds(0)
-        repeat(GENERATIONS) {
+        repeat(generations) {
             budget.earn(BUDGET_SHARE * EngineModel.GENERATIONS_PER_LONG)
             val spec = EngineModel.spec(policy, engines.length())
             now = EngineRun(spec, deathsPerHour, engines, figures, budget, times, now).run()
