--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Utils.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/claims/Utils.kt
@@ -1,11 +1,11 @@
 /** Helpers of the benchmark of the claims ledger. */
 package burdockspread.bench.claims
 
+import burdockspread.fakes.store.FakeObjectStore
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
 import burdockspread.store.WriteCondition
 import burdockspread.store.WriteResult
-import burdockspread.fakes.store.FakeObjectStore
 import kotlin.coroutines.Continuation
 import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.coroutines.startCoroutine
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/Fleet.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/Fleet.kt
@@ -61,7 +61,7 @@
         const val MANY_HOSTS = 120
         const val REPORT_SECONDS = 0.5
 
-        /** Requests per second that fill all slots: a generation takes about 4.5 s in a full batch. */
+        /** Requests per second that fill all slots: a full batch takes 4.5 s for each. */
         const val CAPACITY = 128.0
     }
 }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/Admission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/Admission.kt
@@ -48,6 +48,8 @@
     public val targetQueue: Duration = 200.milliseconds,
     /** Longest wait of a request without a deadline. */
     public val maxWait: Duration = 30.seconds,
+    /** Multiple of the expected wait that has to fit before the deadline. */
+    public val waitSafety: Double = 3.0,
     /** Wait that outweighs one priority level, so that no level starves. */
     public val levelStep: Duration = 2.seconds,
     /** Wait that outweighs one more waiting request of the same organisation. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/admission/RealAdmission.kt
@@ -100,7 +100,8 @@
         now: Instant,
     ): AdmissionDecision {
         val wait = expectedWait(queue, ticket, choice, now)
-        val late = now + wait + choice.estimate.prefill + choice.estimate.load - ticket.deadline
+        val work = choice.estimate.prefill + choice.estimate.load
+        val late = now + wait * options.waitSafety + work - ticket.deadline
         if (late > Duration.ZERO) return AdmissionDecision.Refuse(unreachable(late))
         if (!queue.add(ticket)) return AdmissionDecision.Refuse(overloaded(wait))
         return AdmissionDecision.Wait(ticket, wait)
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/DemandMeter.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/DemandMeter.kt
@@ -38,7 +38,8 @@
         lastMillis = nowMillis
         requestRate = smooth(requestRate, requests.getAndSet(0) / elapsed)
         tokenRate = smooth(tokenRate, tokens.getAndSet(0) / elapsed)
-        peakRate = smooth(peakRate, peak.getAndSet(open.get()).toDouble())
+        peakRate = maxOf(peak.getAndSet(open.get()).toDouble(), peakRate / FALL)
+        if (peakRate < NEGLIGIBLE) peakRate = 0.0
         return maxOf(
             part(requestRate, limit.requestsPerSecond),
             part(tokenRate, limit.tokensPerSecond),
@@ -46,9 +47,16 @@
         )
     }
 
-    /** Rises at once and falls to a quarter each second. */
+    /**
+     * Follows dense demand at once and down to a quarter each second. Sparse demand, of which a
+     * second shows little, is averaged over several seconds.
+     */
     private fun smooth(old: Double, new: Double): Double {
-        val next = if (new > old) new else new + (old - new) / FALL
+        val next = when {
+            maxOf(old, new) < SPARSE -> old + (new - old) * SPARSE_PART
+            new > old -> new
+            else -> new + (old - new) / FALL
+        }
         return if (next < NEGLIGIBLE) 0.0 else next
     }
 
@@ -58,6 +66,8 @@
         const val MILLIS = 1_000.0
         const val MAX_GAP_MILLIS = 10_000L
         const val FALL = 4
+        const val SPARSE = 2.0
+        const val SPARSE_PART = 0.25
         const val NEGLIGIBLE = 0.02
     }
 }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/LocalLimit.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/LocalLimit.kt
@@ -77,7 +77,7 @@
         if (limit.requestsPerSecond <= 0) return null
         val nowMillis = now.toEpochMilliseconds()
         val rate = limit.requestsPerSecond * share
-        val capacity = maxOf(rate, 1.0)
+        val capacity = maxOf(rate, MIN_BURST)
         if (requests.tryTake(1.0, 1.0, rate, capacity, nowMillis)) return null
         if (limit.tokensPerSecond > 0) tokens.charge(-expected.toDouble())
         return limited(requests.millisUntil(1.0, rate, capacity, nowMillis))
@@ -122,6 +122,7 @@
 
     private companion object {
         const val INITIAL_TOKENS = 256L
+        const val MIN_BURST = 3.0
         const val MEAN_PART = 8
         val RETRY_CONCURRENT = 500.milliseconds
     }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/OrganisationLimits.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/OrganisationLimits.kt
@@ -69,7 +69,7 @@
     /** Part of each limit that all hosts of the document hold evenly without asking. */
     public val basePart: Double = 0.1,
     /** Demand that is asked for, as a multiple of the demand seen. */
-    public val headroom: Double = 1.5,
+    public val headroom: Double = 2.0,
 )
 
 /** Hosts between which the limits are shared. */
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/OrganisationShares.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/OrganisationShares.kt
@@ -21,7 +21,7 @@
     /** Starts and ends ledgers when this host's roles change. */
     fun assign(own: HostId, nowMillis: Long) {
         hosts = if (divider != own) null else hosts ?: ledger(nowMillis)
-        domains = if (top != own) null else domains ?: ledger(nowMillis)
+        domains = if (top != own) null else domains ?: ledger(nowMillis, spreadRest = true)
     }
 
     /** This host's report, or null when none is due. */
@@ -88,10 +88,10 @@
     }
 
     /** One open request is the smallest useful part of a limit on open requests. */
-    private fun <K : Any> ledger(nowMillis: Long): ShareLedger<K> {
+    private fun <K : Any> ledger(nowMillis: Long, spreadRest: Boolean = false): ShareLedger<K> {
         val concurrent = local.limit.concurrent
         val quantum = if (concurrent > 0) ShareUnits.WHOLE / concurrent + 1 else 0
-        return ShareLedger(nowMillis, lifetimeMillis, quantum)
+        return ShareLedger(nowMillis, lifetimeMillis, quantum, spreadRest)
     }
 
     private fun reportOf(
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/ShareHolding.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/ShareHolding.kt
@@ -2,7 +2,6 @@
 package burdockspread.limit
 
 import burdockspread.id.HostId
-import kotlin.math.abs
 
 /** State of a holder towards the host that grants to it. */
 internal class ShareHolding {
@@ -37,9 +36,9 @@
         if (to != granter) return demand > 0 || usable(nowMillis) > 0
         if (unsaid) return true
         if (demand == 0 && reported == 0 && usable(nowMillis) == 0) return false
-        val changed = abs(demand - reported) > maxOf(reported, SMALL) / CHANGE_PART
-        val short = demand > amount
-        return changed || short || nowMillis - reportedMillis >= renewMillis
+        val fallen = reported - demand > maxOf(reported / CHANGE_PART, SMALL)
+        val short = demand > amount + amount / CHANGE_PART
+        return fallen || short || nowMillis - reportedMillis >= renewMillis
     }
 
     /** Whether a smaller grant came that has not been confirmed. */
@@ -67,7 +66,7 @@
     }
 
     private companion object {
-        const val SMALL = 1_000
-        const val CHANGE_PART = 4
+        const val SMALL = 2_000
+        const val CHANGE_PART = 2
     }
 }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/limit/ShareLedger.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/limit/ShareLedger.kt
@@ -13,6 +13,7 @@
     createdMillis: Long,
     private val lifetimeMillis: Long,
     private val quantum: Int = 0,
+    private val spreadRest: Boolean = false,
 ) {
     private val holders = LinkedHashMap<K, Holder>()
     private val quietUntilMillis = createdMillis + lifetimeMillis
@@ -51,7 +52,7 @@
         val wanted = if (nowMillis < quietUntilMillis) {
             minOf(report.holds, report.demand)
         } else {
-            maxOf(fairPart(report.demand, total), minOf(quantum, report.demand))
+            maxOf(fairPart(report.demand, total), minOf(quantum, report.demand)) + restPart(total)
         }
         val until = minOf(nowMillis + lifetimeMillis, untilMillis)
         val grant = Outstanding(++lastNumber, minOf(wanted, free), until)
@@ -60,6 +61,13 @@
         return ShareGrant(report.organisation, grant.amount, grant.number, lifetime)
     }
 
+    /** Even part of what nobody asks for, so that a sudden demand finds it near. */
+    private fun restPart(total: Int): Int {
+        if (!spreadRest) return 0
+        val asked = holders.values.sumOf { minOf(it.demand, total).toLong() }
+        return (maxOf(total - asked, 0) / holders.size).toInt()
+    }
+
     /** Forgets holders that went silent and whose grants have ended. */
     private fun forget(nowMillis: Long) {
         holders.values.removeIf { it.forgettable(nowMillis) }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/SendWindow.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/SendWindow.kt
@@ -12,13 +12,16 @@
  */
 internal class SendWindow {
     private val state = AtomicReference(State(Double.MAX_VALUE, 0))
+    private val queued = Average(0.0)
 
     /** Whether one more request may be sent beside [own] in flight. */
     fun admits(own: Int): Boolean = own < state.get().bound
 
     /** Takes the time that a request spent in a target's queue. */
     fun onQueued(seconds: Double, own: Int, nowMillis: Long) {
-        state.updateAndGet { it.after(seconds, own, nowMillis) }
+        queued.add(seconds, SAMPLE_PART)
+        val mean = queued.get()
+        state.updateAndGet { it.after(mean, own, nowMillis) }
     }
 
     private class State(val bound: Double, val cutMillis: Long) {
@@ -35,10 +38,11 @@
     }
 
     private companion object {
+        const val SAMPLE_PART = 0.1
         const val LATE_SECONDS = 0.4
         const val CUT_MILLIS = 1_000L
         const val CUT = 0.9
         const val IN_USE = 0.8
-        const val RISE = 2.0
+        const val RISE = 4.0
     }
 }
