--- a/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/route/LiveTarget.kt
@@ -19,6 +19,7 @@
     var batchSlots: Int = 1
 
     val report = AtomicReference<LoadReport?>()
+    val samples = SampleCounters()
     val inFlight = AtomicInteger()
     val pendingPromptTokens = AtomicInteger()
     val weight = Average(1.0)
@@ -30,12 +31,14 @@
 
     fun sent(promptTokens: Int, nowMillis: Long) {
         inFlight.incrementAndGet()
+        poolLoad.own.incrementAndGet()
         pendingPromptTokens.addAndGet(promptTokens)
         sends.add(1, nowMillis)
     }
 
     fun ended(nowMillis: Long) {
         inFlight.decrementAndGet()
+        poolLoad.own.decrementAndGet()
         sends.add(-1, nowMillis)
     }
 
