--- a/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
+++ b/burdock-spread-core/src/main/kotlin/burdockspread/spread/RealSpreadCore.kt
@@ -16,7 +16,7 @@
     private val fresh = FreshEntries(settings.maxSends, settings.maxKnown)
     private val chooser = PeerChooser(settings)
     private val budget = ByteBudget(settings.bytesPerSecond, settings.burstBytes)
-    private val asked = HashMap<EntryKey, Instant>()
+    private val wanted = WantedEntries(settings.wantTimeout)
     private var nextRound = Instant.DISTANT_PAST
     private var nextLazyRound = Instant.DISTANT_PAST
     private var nextRepair = Instant.DISTANT_PAST
@@ -69,7 +69,7 @@
         val reply = ExchangeReply(
             entries = give.entries,
             known = known,
-            wanted = claim(newer + step.wanted, now),
+            wanted = wanted.claim(newer + step.wanted, now),
             nodes = step.nodes,
             listings = step.listings,
             truncated = give.truncated,
@@ -91,13 +91,13 @@
         val give = reply.wanted.mapNotNull { table.get(it) } + step.give
         val fitting = fitting(give.distinctBy { it.key }, now)
         if (fitting.entries.isNotEmpty()) effects += push(from, fitting.entries)
-        val wanted = claim(step.wanted, now)
-        if (step.nodes.isNotEmpty() || step.listings.isNotEmpty() || wanted.isNotEmpty()) {
+        val due = wanted.claim(step.wanted, now)
+        if (step.nodes.isNotEmpty() || step.listings.isNotEmpty() || due.isNotEmpty()) {
             effects += exchange(
                 from,
                 ExchangeRequest(
                     sender = settings.host,
-                    wanted = wanted,
+                    wanted = due,
                     nodes = step.nodes,
                     listings = step.listings,
                 ),
@@ -178,7 +178,7 @@
         val applied = entries.filter { table.put(it, now) }
         val isNews = applied.size <= MAX_NEWS
         for (entry in applied) {
-            asked.remove(entry.key)
+            wanted.onArrived(entry.key)
             val travels = entry.key.kind.scope == EntryScope.EVERYWHERE
             if (isNews && travels) fresh.add(entry)
         }
@@ -197,16 +197,6 @@
         reply.known.mapNotNull { digests.getOrNull(it) }.forEach { fresh.onKnown(it) }
     }
 
-    /** Leaves out entries that another peer was asked for a moment ago. */
-    private fun claim(keys: List<EntryKey>, now: Instant): ImmutableList<EntryKey> {
-        val due = keys.distinct().filter { key ->
-            val since = asked[key]
-            since == null || now - since >= settings.wantTimeout
-        }
-        due.forEach { asked[it] = now }
-        return due.toImmutableList()
-    }
-
     private class Fitting(val entries: ImmutableList<Entry>, val truncated: Boolean)
 
     /** The entries that the message and the bytes per second have room for; at least one. */
@@ -226,7 +216,7 @@
         if (now < nextExpiry) return
         nextExpiry = now + EXPIRY_PERIOD
         table.expire(now - settings.expiry, now - settings.retention, now)
-        asked.values.removeAll { now - it >= settings.wantTimeout }
+        wanted.expire(now)
     }
 
     private fun appliedEffect(applied: List<Entry>): List<SpreadEffect> = if (applied.isEmpty()) {
