Restart crashed hosts in the duty benchmark

Cause: a run showed 128 s, the trial's limit, for a takeover under leases of 30 s: the trial never restarted hosts, so a failure domain of four could lose all of them and its duties had no candidate left. Not a fault of the leases.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/duty/DutyTrial.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/duty/DutyTrial.kt
@@ -71,7 +71,8 @@
                 val first = fleet.run(detection) { fleet.held == duties.size }
                 fleet.spreadCandidates()
                 val time = first + fleet.run(LIMIT) { fleet.held == duties.size }
-                fleet.run(SETTLE)
+                fleet.restartAll()
+                fleet.run(BETWEEN)
                 time
             },
         )
@@ -89,7 +90,8 @@
                 fleet.crash(host)
                 fleet.spreadCandidates()
                 val time = first + fleet.run(LIMIT) { fleet.held == duties.size }
-                fleet.run(SETTLE)
+                fleet.restartAll()
+                fleet.run(BETWEEN)
                 time
             },
         )
@@ -105,6 +107,7 @@
         const val SEED = 20_262
         private const val HOSTS_PER_DOMAIN = 4
         private val SETTLE = 30.seconds
+        private val BETWEEN = 20.seconds
         private val SPAN = 60.seconds
         private val LIMIT = 120.seconds
     }
--- a/burdock-duty-core/src/main/kotlin/burdockspread/duty/RealDutySet.kt
+++ b/burdock-duty-core/src/main/kotlin/burdockspread/duty/RealDutySet.kt
@@ -41,8 +41,10 @@
     }
 
     override fun tick(now: Instant): ImmutableList<LeaseEffect> {
-        val effects = leases.flatMap { (duty, lease) ->
-            lease.tick(candidacies[duty] ?: Candidacy.NONE, now)
+        val effects = mutableListOf<LeaseEffect>()
+        for ((duty, lease) in leases) {
+            val candidacy = candidacies[duty] ?: Candidacy.NONE
+            if (candidacy.asks || !lease.isIdle) effects += lease.tick(candidacy, now)
         }
         refresh(now)
         leases.entries.removeAll { (duty, lease) -> duty !in listed && lease.isIdle }
