--- a/burdock-spread-core/src/test/kotlin/burdockspread/spread/FakeNetwork.kt
+++ b/burdock-spread-core/src/test/kotlin/burdockspread/spread/FakeNetwork.kt
@@ -36,6 +36,8 @@
     val down = HashSet<HostId>()
     val cut = HashSet<FailureDomainId>()
     var now = Instant.fromEpochSeconds(1_000_000)
+    var largestMessage = 0
+        private set
     var onApplied: (HostId, Entry) -> Unit = { _, _ -> }
     private val highest = HashMap<HostId, HashMap<EntryKey, Long>>()
     private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
@@ -102,10 +104,13 @@
                     onApplied(host, it)
                 }
                 is SpreadEffect.SendPush -> send(host, core, effect.to) { receiver ->
+                    largestMessage = maxOf(largestMessage, MessageSize.of(effect.request))
                     carryOut(effect.to, receiver, receiver.onPush(effect.request, now))
                 }
                 is SpreadEffect.SendExchange -> send(host, core, effect.to) { receiver ->
                     val handled = receiver.onExchange(effect.request, now)
+                    val size = maxOf(MessageSize.of(effect.request), MessageSize.of(handled.reply))
+                    largestMessage = maxOf(largestMessage, size)
                     carryOut(effect.to, receiver, handled.effects)
                     send(effect.to, receiver, host) { sender ->
                         val request = effect.request
--- a/burdock-spread-core/src/test/kotlin/burdockspread/spread/SpreadCoreTest.kt
+++ b/burdock-spread-core/src/test/kotlin/burdockspread/spread/SpreadCoreTest.kt
@@ -149,6 +149,19 @@
         assertTrue(took <= 10.seconds, "took $took")
     }
 
+    @Test
+    fun `a host that knows half of 12000 targets gets the rest in bounded messages`() {
+        val net = FakeNetwork(11, 2, 4)
+        val targets = List(12_000) { Entry(EntryKey(EntryKind.TARGET, "engine-$it"), 1) }
+        net.cores.values.forEach { it.load(targets.toImmutableList(), net.now) }
+        val joining = net.peers.last()
+        net.start(joining)
+        net.cores.getValue(joining.host).load(targets.take(6_000).toImmutableList(), net.now)
+        val took = net.runUntil(60.seconds) { net.converged() }
+        assertTrue(took <= 20.seconds, "took $took")
+        assertTrue(net.largestMessage <= 150_000, "${net.largestMessage}")
+    }
+
     @Test
     fun `a host never sends more than its bytes per second`() {
         val limit = 2_000
