--- a/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
@@ -175,6 +175,13 @@
         true,
         "The claim's write has no answer yet; ask again with the same key.",
     ),
+    KEY_NOT_LOOKED_UP(
+        408,
+        503,
+        Truth.OUTCOME_UNKNOWN,
+        true,
+        "Refused before the key was looked up; an earlier send of it may have run.",
+    ),
 
     SECTION_CONFLICT(501, 409, Truth.NOT_RUN, true, "The section changed since it was read."),
     SECTION_INVALID(
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
@@ -42,10 +42,7 @@
 }
 
 /** A plain answer. */
-public data class PlainAnswer(
-    public val status: Int,
-    public val body: String,
-)
+public data class PlainAnswer(public val status: Int, public val body: String)
 
 /** Sends requests to one entry host at a time. */
 public class Caller {
@@ -57,7 +54,10 @@
         ask: Ask,
         onEvent: (Received) -> Unit = {},
     ): List<Received> {
-        val lines = client.send(completion(address, ask), HttpResponse.BodyHandlers.ofLines()).body()
+        val lines = client.send(
+            completion(address, ask),
+            HttpResponse.BodyHandlers.ofLines(),
+        ).body()
         val received = mutableListOf<Received>()
         val parser = EventParser()
         try {
@@ -74,10 +74,7 @@
     }
 
     /** Asks for a whole answer. */
-    public fun whole(
-        address: String,
-        ask: Ask,
-    ): PlainAnswer = send(completion(address, ask))
+    public fun whole(address: String, ask: Ask): PlainAnswer = send(completion(address, ask))
 
     /** Calls a plain service. */
     public fun call(
@@ -94,22 +91,15 @@
     }
 
     /** Sends [body] as it is, for requests that are not well formed. */
-    public fun raw(
-        address: String,
-        path: String,
-        body: String,
-        key: String?,
-    ): PlainAnswer = send(request("http://$address$path", key, body).build())
+    public fun raw(address: String, path: String, body: String, key: String?): PlainAnswer =
+        send(request("http://$address$path", key, body).build())
 
     private fun send(request: HttpRequest): PlainAnswer {
         val response = client.send(request, HttpResponse.BodyHandlers.ofString())
         return PlainAnswer(response.statusCode(), response.body())
     }
 
-    private fun completion(
-        address: String,
-        ask: Ask,
-    ): HttpRequest {
+    private fun completion(address: String, ask: Ask): HttpRequest {
         val body =
             """
             {"model": "burdock-llm", "prompt": "${ask.prompt}", "max_tokens": ${ask.maxTokens},
@@ -122,11 +112,7 @@
         return builder.build()
     }
 
-    private fun request(
-        url: String,
-        key: String?,
-        body: String,
-    ): HttpRequest.Builder {
+    private fun request(url: String, key: String?, body: String): HttpRequest.Builder {
         val builder = HttpRequest.newBuilder(URI(url))
         key?.let { builder.header("Authorization", "Bearer $it") }
         return builder.POST(HttpRequest.BodyPublishers.ofString(body))
@@ -157,4 +143,3 @@
         }
     }
 }
-
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -6,10 +6,7 @@
 import kotlin.time.TimeSource
 
 /** Runs the steps one after another and collects what did not hold. */
-internal class Demonstration(
-    private val fleet: Fleet,
-    private val resumeLimit: Duration,
-) {
+internal class Demonstration(private val fleet: Fleet, private val resumeLimit: Duration) {
     private val caller = Caller()
     private val failures = mutableListOf<String>()
     private val first = fleet.layout.entries.first()
@@ -47,7 +44,11 @@
                 killed = true
                 killServing()
             }
-            if (seen <= SHOWN || event.text.isEmpty()) println("  id: ${event.id} data: ${event.data}")
+            if (seen <= SHOWN ||
+                event.text.isEmpty()
+            ) {
+                println("  id: ${event.id} data: ${event.data}")
+            }
         }
         val text = events.joinToString("") { it.text }
         val reference = TextModel().answer(ask.prompt, TOKENS).joinToString("")
@@ -92,10 +93,7 @@
     }
 
     /** Asks again while the first send is still being recorded, as its refusal says. */
-    private fun bookPatiently(
-        entry: EntryLayout,
-        body: String,
-    ): PlainAnswer {
+    private fun bookPatiently(entry: EntryLayout, body: String): PlainAnswer {
         var answer = caller.call(entry.caller, "order-desk/book", body, "dispatch-4711")
         fleet.await("recorded booking") {
             answer.status != CONFLICT ||
@@ -132,10 +130,7 @@
         println("\n== $text")
     }
 
-    private fun check(
-        what: String,
-        holds: Boolean,
-    ) {
+    private fun check(what: String, holds: Boolean) {
         println("  ${if (holds) "ok" else "NOT OK"}: $what")
         if (!holds) failures += what
     }
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/DocumentTeams.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/DocumentTeams.kt
@@ -9,10 +9,7 @@
 import java.nio.file.Path
 
 /** Runs burdockctl for [fleet] with files in [directory]. */
-public class DocumentTeams(
-    private val fleet: Fleet,
-    private val directory: Path,
-) {
+public class DocumentTeams(private val fleet: Fleet, private val directory: Path) {
     /** Creates all sections, team by team. */
     public fun createAll() {
         val sections = fleet.document.sections()
@@ -31,10 +28,7 @@
     }
 
     /** Applies [sections] as they are in the name of [team]. */
-    public fun apply(
-        team: String,
-        sections: List<SectionText>,
-    ): ProgramOutput {
+    public fun apply(team: String, sections: List<SectionText>): ProgramOutput {
         val files = sections.map { section ->
             val file = directory.resolve("${section.name}.json")
             Files.writeString(file, section.json).toString()
@@ -43,10 +37,7 @@
     }
 
     /** Runs one command in the name of [team]. */
-    public fun run(
-        team: String,
-        vararg command: String,
-    ): ProgramOutput {
+    public fun run(team: String, vararg command: String): ProgramOutput {
         val file = Files.writeString(directory.resolve("ctl-$team.json"), settings(team))
         return fleet.run("burdockctl", "--config", "$file", *command)
     }
@@ -57,6 +48,6 @@
             {"store": {"address": "${fleet.layout.store}", "namespace": "demo",
                        "callTimeout": "2s"},
              "team": "$team", "hosts": [$hosts]}
-            """.trimIndent()
+        """.trimIndent()
     }
 }
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
@@ -51,7 +51,10 @@
 
     /** Starts the process of one entry host. */
     public fun startEntry(entry: EntryLayout) {
-        val file = Files.writeString(directory.resolve("${entry.name}.json"), document.settings(entry))
+        val file = Files.writeString(
+            directory.resolve("${entry.name}.json"),
+            document.settings(entry),
+        )
         val command = listOf("$root/bin/burdock-entry", "--config", "$file")
         start(entry.name, command)
     }
@@ -77,10 +80,7 @@
     }
 
     /** Sends the signal [name] to the process [process]. */
-    public fun signal(
-        process: String,
-        name: String,
-    ) {
+    public fun signal(process: String, name: String) {
         val pid = processes.getValue(process).pid()
         check(ProcessBuilder("kill", "-$name", "$pid").start().waitFor() == 0)
     }
@@ -111,11 +111,7 @@
     }
 
     /** Waits until [holds] is true. */
-    public fun await(
-        what: String,
-        timeout: Duration = START_TIMEOUT,
-        holds: () -> Boolean,
-    ) {
+    public fun await(what: String, timeout: Duration = START_TIMEOUT, holds: () -> Boolean) {
         val start = TimeSource.Monotonic.markNow()
         while (!holds()) {
             check(start.elapsedNow() < timeout) { "no $what within $timeout; logs in $directory" }
@@ -132,25 +128,19 @@
         running.forEach { it.waitFor() }
     }
 
-    private fun start(
-        name: String,
-        command: List<String>,
-    ) {
+    private fun start(name: String, command: List<String>) {
         val log = directory.resolve("$name.log").toFile()
         val builder = ProcessBuilder(command).redirectErrorStream(true)
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log))
         processes[name] = builder.start()
     }
 
-    private fun standIn(
-        kind: String,
-        address: String,
-    ): List<String> = listOf("$root/bin/stand-in", kind, "--port", "${Ports.portOf(address)}")
+    private fun standIn(kind: String, address: String): List<String> =
+        listOf("$root/bin/stand-in", kind, "--port", "${Ports.portOf(address)}")
 
-    private fun awaitOk(url: String): Unit =
-        await("answer from $url") {
-            runCatching { get(url).statusCode() == OK }.getOrDefault(false)
-        }
+    private fun awaitOk(url: String): Unit = await("answer from $url") {
+        runCatching { get(url).statusCode() == OK }.getOrDefault(false)
+    }
 
     private companion object {
         const val OK = 200
@@ -162,7 +152,4 @@
 }
 
 /** What a program printed and how it ended. */
-public data class ProgramOutput(
-    public val status: Int,
-    public val text: String,
-)
+public data class ProgramOutput(public val status: Int, public val text: String)
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
@@ -17,9 +17,7 @@
 )
 
 /** Writes settings and sections for [layout]. */
-public class FleetDocument(
-    private val layout: FleetLayout,
-) {
+public class FleetDocument(private val layout: FleetLayout) {
     /** Settings of one entry host. */
     public fun settings(entry: EntryLayout): String {
         val seeds = layout.entries.filter { it != entry }.joinToString { "\"${it.peer}\"" }
@@ -55,7 +53,7 @@
               "drain": {"deadline": "20s", "notice": "0.1s"},
               "seedPeers": [$seeds]
             }
-            """.trimIndent()
+        """.trimIndent()
     }
 
     /** Settings of one steward. */
@@ -69,7 +67,7 @@
           },
           "operatorAddress": "${steward.operator}",
           "store": {"address": "${layout.store}", "namespace": "demo", "callTimeout": "0.5s"},
-          "duties": {"lease": "3s", "renew": "0.5s", "margin": "0.5s"}
+          "duties": {"lease": "8s", "renew": "1s", "margin": "1s"}
         }
         """.trimIndent()
 
@@ -79,10 +77,7 @@
             layout.domains.map { domain(it) }
 
     /** The section of one failure domain; targets in [leaving] get no new work. */
-    public fun domain(
-        name: String,
-        leaving: Set<String> = emptySet(),
-    ): SectionText {
+    public fun domain(name: String, leaving: Set<String> = emptySet()): SectionText {
         val hosts = layout.entries.filter { it.failureDomain == name }.joinToString {
             """{"name": "${it.name}", "peerAddress": "${it.peer}"}"""
         }
@@ -171,17 +166,13 @@
         return section("organisations", "sales", body)
     }
 
-    private fun organisation(
-        name: String,
-        key: String,
-        priority: String,
-    ): String {
+    private fun organisation(name: String, key: String, priority: String): String {
         val hash = Hashing.sha256().hashString(key, Charsets.UTF_8)
         return """
             {"name": "$name", "apiKeySha256": ["$hash"], "defaultPriority": "$priority",
              "limits": {"requestsPerSecond": 200, "tokensPerSecond": 50000, "concurrent": 200,
                         "cutOffFloor": 0.2}}
-            """.trimIndent()
+        """.trimIndent()
     }
 
     private fun services(): SectionText {
@@ -195,11 +186,7 @@
         return section("services", "orders", body)
     }
 
-    private fun section(
-        name: String,
-        owner: String,
-        body: String,
-    ): SectionText =
+    private fun section(name: String, owner: String, body: String): SectionText =
         SectionText(name, owner, """{"name": "$name", "owner": "$owner", ${body.trim()}}""")
 
     private companion object {
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
@@ -40,10 +40,9 @@
 
     public companion object {
         /** A fleet of [domains] with one entry host and one engine in each. */
-        public fun of(vararg domains: String): FleetLayout =
-            FleetLayout(
-                entries = domains.map { EntryLayout("$it-1", it) }.toImmutableList(),
-                engines = domains.map { EngineLayout("$it-llm-1", it) }.toImmutableList(),
-            )
+        public fun of(vararg domains: String): FleetLayout = FleetLayout(
+            entries = domains.map { EntryLayout("$it-1", it) }.toImmutableList(),
+            engines = domains.map { EngineLayout("$it-llm-1", it) }.toImmutableList(),
+        )
     }
 }
--- a/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
+++ b/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
@@ -29,15 +29,13 @@
         fleet.awaitReady()
     }
 
-    private fun reference(tokens: Int): String =
-        TextModel().answer(prompt, tokens).joinToString("")
+    private fun reference(tokens: Int): String = TextModel().answer(prompt, tokens).joinToString("")
 
     private fun text(events: List<Received>): String = events.joinToString("") { it.text }
 
-    private fun servingEngine(): EngineLayout =
-        layout.engines.first {
-            fleet.get("http://${it.address}/metrics").body().contains("running 1")
-        }
+    private fun servingEngine(): EngineLayout = layout.engines.first {
+        fleet.get("http://${it.address}/metrics").body().contains("running 1")
+    }
 
     @Test
     fun `the demonstration holds`() {
--- a/burdock-e2e/src/test/kotlin/burdockspread/demo/HalfRequest.kt
+++ b/burdock-e2e/src/test/kotlin/burdockspread/demo/HalfRequest.kt
@@ -3,9 +3,7 @@
 import java.net.Socket
 
 /** A connection on which no whole request is ever sent. */
-internal class HalfRequest(
-    port: Int,
-) : AutoCloseable {
+internal class HalfRequest(port: Int) : AutoCloseable {
     private val socket = Socket("127.0.0.1", port)
 
     /** Sends a head that promises more body than follows, and returns what the server says. */
--- a/burdock-entry/src/main/kotlin/burdockspread/call/RealClaimedCalls.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/call/RealClaimedCalls.kt
@@ -28,6 +28,8 @@
 import com.google.protobuf.ByteString
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlin.time.Duration.Companion.seconds
 
 /** Claims each call in the platform's store before it is sent, and records its outcome there. */
@@ -47,6 +49,7 @@
         val bodyHash = BodyHash.of(request.service, call.name, request.body.encodeToByteArray())
         val ask = ClaimRequest(organisation, key, bodyHash, request.firstSend)
         val decision = ledger.claim(ask, time.now())
+        if (decision is ClaimDecision.Send) recordIfCancelled(decision.permit)
         val result =
             when (decision) {
                 is ClaimDecision.Send -> sendOnce(request, call, decision.permit)
@@ -58,6 +61,12 @@
         return result
     }
 
+    /** A caller that left before anything was sent must not leave its key in doubt. */
+    private suspend fun recordIfCancelled(permit: SendPermit) {
+        if (currentCoroutineContext().isActive) return
+        ledger.record(permit, CallOutcome.NotSent, time.now())
+    }
+
     private suspend fun sendOnce(
         request: ServiceRequest,
         call: ServiceCall,
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -12,6 +12,7 @@
 import burdockspread.id.TargetId
 import burdockspread.journal.CopyLimits
 import burdockspread.journal.CopyPolicy
+import burdockspread.limit.OrganisationLimits
 import burdockspread.membership.MemberState
 import burdockspread.membership.MembershipSettings
 import burdockspread.membership.MembershipSnapshot
@@ -19,6 +20,8 @@
 import burdockspread.peer.HostFilter
 import burdockspread.peer.JournalClient
 import burdockspread.peer.JournalService
+import burdockspread.peer.LimitPeers
+import burdockspread.peer.LimitRunner
 import burdockspread.peer.PeerChannels
 import burdockspread.peer.PeerCopySender
 import burdockspread.peer.PeerDirectory
@@ -65,7 +68,8 @@
     planner: SessionPlanner,
     time: TimeSource,
     events: PeerEvents,
-) : TargetObserver, ChangeSink {
+) : TargetObserver,
+    ChangeSink {
     private val host = HostId(settings.host.name)
     private val domain = FailureDomainId(settings.host.failureDomain)
     private val journal = settings.journal
@@ -124,8 +128,16 @@
             events::targetsChanged,
             events::drainRequested,
         )
+    private val limitRunner =
+        LimitRunner(scope, host, domain, Limits(), channels, time, CALL_TIMEOUT)
     private val server =
-        PeerServer(settings.peerAddress, listOf(JournalService(held, open, time), spread))
+        PeerServer(
+            settings.peerAddress,
+            listOf(JournalService(held, open, time), spread, limitRunner),
+        )
+
+    /** Limits of the organisations on this host. */
+    val limits: OrganisationLimits get() = limitRunner.limits
 
     /** Hosts that this one sees, by name, with their states. */
     val hosts: MembershipSnapshot get() = presence.hosts
@@ -136,6 +148,7 @@
         server.start()
         scope.launch { spread.run() }
         scope.launch { presence.run() }
+        scope.launch { limitRunner.run() }
     }
 
     /** Whether this host is one of those that watch the store for its failure domain. */
@@ -148,7 +161,10 @@
     fun takesNewWork(target: TargetId): Boolean = presence.takesNewWork(target)
 
     /** Takes the targets of the document in force. */
-    fun onDocument(view: DocumentView): Unit = presence.onDocument(view)
+    fun onDocument(view: DocumentView) {
+        presence.onDocument(view)
+        limitRunner.onDocument(view)
+    }
 
     /** Tells the others that this host takes no new work. */
     fun leave(): Unit = presence.leave()
@@ -169,17 +185,27 @@
     /** A host that membership does not know yet may have started a moment ago. */
     private fun isUsable(host: HostId): Boolean {
         val known = presence.hosts
-        return host !in known.members && host !in known.unreachable ||
-            known.state(host) == MemberState.LIVE && host !in known.unreachable
+        return host !in known.members &&
+            host !in known.unreachable ||
+            known.state(host) == MemberState.LIVE &&
+            host !in known.unreachable
     }
 
     private fun seed(address: String): Peer = Peer(HostId(address), domain, settings.host.region)
 
     /** The address of a host; a seed's name is its address. */
-    private fun addressOf(host: HostId): String? =
-        presence.hosts.members[host]?.address
-            ?: directory.address(host)
-            ?: host.value.takeIf { it in settings.seedPeersList }
+    private fun addressOf(host: HostId): String? = presence.hosts.members[host]?.address
+        ?: directory.address(host)
+        ?: host.value.takeIf { it in settings.seedPeersList }
+
+    private inner class Limits : LimitPeers {
+        override fun document(): DocumentView = this@EntryPeers.document.view()
+
+        override fun live(): Map<FailureDomainId, List<HostId>> =
+            presence.hosts.usable().groupBy({ it.domain }, { it.host })
+
+        override fun addressOf(host: HostId): String? = this@EntryPeers.addressOf(host)
+    }
 
     private inner class Output : SpreadOutput {
         override fun applied(entries: List<Entry>) {
@@ -194,10 +220,8 @@
 
         override fun answered(host: HostId): Unit = presence.onHostAnswered(host)
 
-        override fun failed(
-            host: HostId,
-            refused: Boolean,
-        ): Unit = presence.onHostFailed(host, refused)
+        override fun failed(host: HostId, refused: Boolean): Unit =
+            presence.onHostFailed(host, refused)
 
         private fun offer(entry: Entry) {
             val value = ByteString.copyFrom(entry.value.toByteArray())
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -23,7 +23,9 @@
 import burdockspread.id.HostId
 import burdockspread.intercept.AuthenticationInterceptor
 import burdockspread.intercept.Interceptor
+import burdockspread.intercept.LimitInterceptor
 import burdockspread.intercept.RealChain
+import burdockspread.intercept.RepeatInterceptor
 import burdockspread.observe.ListenerGroup
 import burdockspread.observe.LoggingListener
 import burdockspread.observe.MetricsListener
@@ -58,6 +60,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The parts of one entry host. [start] opens its ports, [drain] ends it gracefully. */
@@ -112,7 +115,13 @@
     private val calls = ServiceHandler(router, sender, claimed, listener, time)
     private val gate = DrainGate(settings.callerLimits.maxOpenRequests)
     private val interceptors =
-        persistentListOf<Interceptor>(gate, AuthenticationInterceptor(), Interceptor(::dispatch))
+        persistentListOf<Interceptor>(
+            RepeatInterceptor(),
+            gate,
+            AuthenticationInterceptor(),
+            LimitInterceptor(peers.limits, time),
+            Interceptor(::dispatch),
+        )
     private val stopped = CompletableDeferred<ExitCode>()
     private val state = EntryState(settings, document, router, open, gate, ::drain)
     private val server = server()
@@ -123,6 +132,7 @@
         peers.start()
         scope.launch { RelayDuty(host, store, document, peers).run() }
         scope.launch { ledger.pump() }
+        scope.launch { advanceQueues() }
         log.info("serving callers on {}", settings.callerAddress)
     }
 
@@ -148,6 +158,13 @@
         }
     }
 
+    private suspend fun advanceQueues() {
+        while (true) {
+            router.advance(time.now())
+            delay(QUEUE_PERIOD)
+        }
+    }
+
     /** Hands over what still runs; its callers return to other hosts for the rest. */
     private suspend fun handOverRest(): Int? {
         generations.runningSessions().forEach { it.handOver() }
@@ -174,11 +191,8 @@
             is ServiceRequest -> calls.serve(request, chain.context)
         }
 
-    private inner class OnApplied : DocumentListener {
-        override fun applied(
-            before: DocumentSnapshot,
-            after: DocumentSnapshot,
-        ) {
+    inner class OnApplied : DocumentListener {
+        override fun applied(before: DocumentSnapshot, after: DocumentSnapshot) {
             router.rebuild(after.view)
             peers.onDocument(after.view)
             moveFromLeaving(before.view, after.view)
@@ -192,10 +206,7 @@
     }
 
     /** Streams at a target that begins to leave finish, or move once the drain deadline is over. */
-    private fun moveFromLeaving(
-        before: DocumentView,
-        after: DocumentView,
-    ) {
+    private fun moveFromLeaving(before: DocumentView, after: DocumentView) {
         val leaving = after.targets.filter { it.leaving && before.target(it.id)?.leaving != true }
         if (leaving.isEmpty()) return
         scope.launch {
@@ -233,6 +244,7 @@
         const val BYTES_PER_MIB = 1_048_576L
         val CONNECT_TIMEOUT = 1.seconds
         val HAND_OVER_LIMIT = 5.seconds
+        val QUEUE_PERIOD = 20.milliseconds
         val log = LogManager.getLogger(EntryProcess::class.java)
     }
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/RelayDuty.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/RelayDuty.kt
@@ -20,19 +20,18 @@
     private val peers: EntryPeers,
 ) {
     /** Follows the membership until cancelled. */
-    suspend fun run(): Unit =
-        coroutineScope {
-            var relay: Job? = null
-            while (true) {
-                val wanted = peers.isRelay()
-                if (wanted && relay == null) relay = launch { watch() }
-                if (!wanted && relay != null) {
-                    relay.cancelAndJoin()
-                    relay = null
-                }
-                delay(CHECK)
+    suspend fun run(): Unit = coroutineScope {
+        var relay: Job? = null
+        while (true) {
+            val wanted = peers.isRelay()
+            if (wanted && relay == null) relay = launch { watch() }
+            if (!wanted && relay != null) {
+                relay.cancelAndJoin()
+                relay = null
             }
+            delay(CHECK)
         }
+    }
 
     private suspend fun watch(): Unit = DocumentRelay(host, store, document, peers).run()
 
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/intercept/LimitInterceptor.kt
@@ -0,0 +1,83 @@
+/** Holds organisations to their limits. */
+package burdockspread.intercept
+
+import burdockspread.id.OrganisationId
+import burdockspread.limit.LimitDecision
+import burdockspread.limit.LimitPermit
+import burdockspread.limit.OrganisationLimits
+import burdockspread.request.CallerRequest
+import burdockspread.request.CompletionRequest
+import burdockspread.request.ErrorResult
+import burdockspread.request.GenerationResult
+import burdockspread.request.RequestResult
+import burdockspread.request.ServiceRequest
+import burdockspread.stream.AnswerPart
+import burdockspread.stream.AnswerReader
+import burdockspread.time.TimeSource
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.onEach
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Refuses requests beyond a limit, and charges the tokens of the others. */
+internal class LimitInterceptor(
+    private val limits: OrganisationLimits,
+    private val time: TimeSource,
+) : Interceptor {
+    override suspend fun intercept(chain: Interceptor.Chain): RequestResult {
+        val organisation = chain.context.requireOrganisation().id
+        return when (val decision = check(organisation, maxTokens(chain.request))) {
+            is LimitDecision.Refused -> ErrorResult(decision.refusal)
+            is LimitDecision.Allowed -> proceed(chain, decision.permit)
+        }
+    }
+
+    /** Waits for a larger share that has been asked for, since shares follow demand. */
+    private suspend fun check(organisation: OrganisationId, maxTokens: Int): LimitDecision {
+        repeat(SHARE_WAITS) {
+            val decision = limits.check(organisation, maxTokens, time.now())
+            val mayPass = decision is LimitDecision.Refused && decision.shareAsked
+            if (!mayPass) return decision
+            delay(SHARE_WAIT)
+        }
+        return limits.check(organisation, maxTokens, time.now())
+    }
+
+    private suspend fun proceed(chain: Interceptor.Chain, permit: LimitPermit): RequestResult {
+        val result =
+            try {
+                chain.proceed()
+            } catch (e: Throwable) {
+                permit.release(time.now())
+                throw e
+            }
+        if (result is GenerationResult) return GenerationResult(Charged(result.reader, permit))
+        permit.release(time.now())
+        return result
+    }
+
+    private fun maxTokens(request: CallerRequest): Int = when (request) {
+        is CompletionRequest -> request.body.maxTokens
+        is ServiceRequest -> 0
+    }
+
+    /** Charges tokens as the caller reads them, and ends the permit with the reader. */
+    private inner class Charged(
+        private val reader: AnswerReader,
+        private val permit: LimitPermit,
+    ) : AnswerReader by reader {
+        override fun parts(): Flow<AnswerPart> = reader.parts().onEach {
+            if (it is AnswerPart.Tokens) permit.onTokens(it.tokens.size, time.now())
+        }
+
+        override fun close() {
+            permit.release(time.now())
+            reader.close()
+        }
+    }
+
+    private companion object {
+        const val SHARE_WAITS = 4
+        val SHARE_WAIT = 250.milliseconds
+    }
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/CopyHolder.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/CopyHolder.kt
@@ -14,9 +14,7 @@
 import kotlin.time.Instant
 
 /** Guards [JournalCopies] by a lock: copies are rare beside requests. */
-internal class CopyHolder(
-    limits: CopyLimits,
-) {
+internal class CopyHolder(limits: CopyLimits) {
     private val copies = JournalCopies(limits)
 
     /** Memory of all copies in bytes. */
@@ -25,23 +23,17 @@
     /** Number of copies. */
     val size: Int get() = synchronized(copies) { copies.size }
 
-    fun append(
-        batch: JournalBatch,
-        now: Instant,
-    ): AppendOutcome =
-        synchronized(copies) {
-            copies.expire(now)
-            copies.append(batch, now)
-        }
+    fun append(batch: JournalBatch, now: Instant): AppendOutcome = synchronized(copies) {
+        copies.expire(now)
+        copies.append(batch, now)
+    }
 
     fun find(key: RequestKey): List<CopyHead> = synchronized(copies) { copies.find(key) }
 
     fun read(key: CopyKey): JournalCopy? = synchronized(copies) { copies.read(key) }
 
-    fun claim(
-        key: CopyKey,
-        taker: BranchId,
-    ): ClaimOutcome = synchronized(copies) { copies.claim(key, taker) }
+    fun claim(key: CopyKey, taker: BranchId): ClaimOutcome =
+        synchronized(copies) { copies.claim(key, taker) }
 
     fun drop(key: CopyKey): Unit = synchronized(copies) { copies.drop(key) }
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
@@ -38,53 +38,37 @@
     private val timeout: Duration,
 ) {
     /** Sends a batch to [host]. */
-    suspend fun append(
-        host: HostId,
-        batch: JournalBatch,
-    ): AppendOutcome? =
-        ask(host) { stub ->
-            stub.append(appendRequest { batches += batch.toMessage() })
-                .getResults(0)
-                .toAppendOutcome()
-        }
+    suspend fun append(host: HostId, batch: JournalBatch): AppendOutcome? = ask(host) { stub ->
+        stub.append(appendRequest { batches += batch.toMessage() })
+            .getResults(0)
+            .toAppendOutcome()
+    }
 
     /** What [host] knows of [key]. */
-    suspend fun find(
-        host: HostId,
-        key: RequestKey,
-    ): List<Sighting> =
-        ask(host) { stub ->
-            val reply = stub.find(
-                findRequest {
-                    organisation = key.organisation.value
-                    requestId = key.request.value
-                },
-            )
-            val running = reply.runningList.map {
-                val finish = FinishReason.ofWireName(it.finishReason)
-                val lineage = it.lineageList.toLineage()
-                Sighting.Running(host, it.key.toCopyKey(), lineage, it.length, finish)
-            }
-            val copies = reply.copiesList.map { Sighting.Copy(host, it.toCopyHead()) }
-            (running + copies).ifEmpty { listOf(Sighting.Nothing(host)) }
-        } ?: listOf(Sighting.Unreachable(host))
+    suspend fun find(host: HostId, key: RequestKey): List<Sighting> = ask(host) { stub ->
+        val reply = stub.find(
+            findRequest {
+                organisation = key.organisation.value
+                requestId = key.request.value
+            },
+        )
+        val running = reply.runningList.map {
+            val finish = FinishReason.ofWireName(it.finishReason)
+            val lineage = it.lineageList.toLineage()
+            Sighting.Running(host, it.key.toCopyKey(), lineage, it.length, finish)
+        }
+        val copies = reply.copiesList.map { Sighting.Copy(host, it.toCopyHead()) }
+        (running + copies).ifEmpty { listOf(Sighting.Nothing(host)) }
+    } ?: listOf(Sighting.Unreachable(host))
 
     /** The whole copy that [host] holds. */
-    suspend fun read(
-        host: HostId,
-        key: CopyKey,
-    ): JournalCopy? =
-        ask(host) { stub ->
-            val reply = stub.read(readRequest { this.key = key.toMessage() })
-            reply.takeIf { it.hasCopy() }?.copy?.toJournalCopy()
-        }
+    suspend fun read(host: HostId, key: CopyKey): JournalCopy? = ask(host) { stub ->
+        val reply = stub.read(readRequest { this.key = key.toMessage() })
+        reply.takeIf { it.hasCopy() }?.copy?.toJournalCopy()
+    }
 
     /** Claims the generation [key] for [taker] at [host]. */
-    suspend fun claim(
-        host: HostId,
-        key: CopyKey,
-        taker: BranchId,
-    ): ClaimOutcome? =
+    suspend fun claim(host: HostId, key: CopyKey, taker: BranchId): ClaimOutcome? =
         ask(host) { stub ->
             val request =
                 claimRequest {
@@ -95,11 +79,7 @@
         }
 
     /** The parts of the answer that [host] runs or keeps, after [last]. */
-    fun attach(
-        host: HostId,
-        key: CopyKey,
-        last: EventId?,
-    ): Flow<AnswerPart> {
+    fun attach(host: HostId, key: CopyKey, last: EventId?): Flow<AnswerPart> {
         val stub = JournalPeerGrpcKt.JournalPeerCoroutineStub(channels.to(addressOf(host)))
         val request =
             attachRequest {
@@ -113,16 +93,12 @@
             .catch { emit(AnswerPart.End(latest, AnswerEnd.Broken(cutOff(host)))) }
     }
 
-    private fun event(part: AnswerPart): EventId =
-        when (part) {
-            is AnswerPart.Tokens -> part.event
-            is AnswerPart.End -> part.event
-        }
+    private fun event(part: AnswerPart): EventId = when (part) {
+        is AnswerPart.Tokens -> part.event
+        is AnswerPart.End -> part.event
+    }
 
-    private fun part(
-        event: AttachEvent,
-        latest: EventId,
-    ): AnswerPart {
+    private fun part(event: AttachEvent, latest: EventId): AnswerPart {
         val id = EventId.parse(event.eventId).getOrNull() ?: latest
         val finish = FinishReason.ofWireName(event.finishReason)
         return when {
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/JournalService.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/JournalService.kt
@@ -76,37 +76,34 @@
         }
     }
 
-    private fun lost(): Flow<AttachEvent> =
-        flow {
-            emit(attachEvent { errorCode = ErrorCode.GENERATION_LOST.number })
-        }
+    private fun lost(): Flow<AttachEvent> = flow {
+        emit(attachEvent { errorCode = ErrorCode.GENERATION_LOST.number })
+    }
 
-    private fun event(part: AnswerPart): AttachEvent =
-        attachEvent {
-            when (part) {
-                is AnswerPart.Tokens -> {
-                    eventId = part.event.format()
-                    tokens += part.tokens
-                }
-                is AnswerPart.End -> {
-                    eventId = part.event.format()
-                    when (val end = part.end) {
-                        is AnswerEnd.Whole -> finishReason = end.reason.wireName
-                        is AnswerEnd.Broken -> {
-                            errorCode = end.refusal.code.number
-                            errorDetail = end.refusal.detail
-                        }
+    private fun event(part: AnswerPart): AttachEvent = attachEvent {
+        when (part) {
+            is AnswerPart.Tokens -> {
+                eventId = part.event.format()
+                tokens += part.tokens
+            }
+            is AnswerPart.End -> {
+                eventId = part.event.format()
+                when (val end = part.end) {
+                    is AnswerEnd.Whole -> finishReason = end.reason.wireName
+                    is AnswerEnd.Broken -> {
+                        errorCode = end.refusal.code.number
+                        errorDetail = end.refusal.detail
                     }
                 }
             }
         }
+    }
 
-    private fun head(session: GenerationSession): RunningHead =
-        runningHead {
-            key = session.copyKey.toMessage()
-            lineage += session.request.lineage.toMessages()
-            length = session.progress.value.released
-            val end = session.progress.value.end as? AnswerEnd.Whole
-            finishReason = end?.reason?.wireName.orEmpty()
-        }
+    private fun head(session: GenerationSession): RunningHead = runningHead {
+        key = session.copyKey.toMessage()
+        lineage += session.request.lineage.toMessages()
+        length = session.progress.value.released
+        val end = session.progress.value.end as? AnswerEnd.Whole
+        finishReason = end?.reason?.wireName.orEmpty()
+    }
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/JournalWire.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/JournalWire.kt
@@ -19,8 +19,8 @@
 import burdockspread.wire.journal.AppendResult
 import burdockspread.wire.journal.Branch
 import burdockspread.wire.journal.ClaimReply
-import burdockspread.wire.journal.branch
 import burdockspread.wire.journal.appendResult
+import burdockspread.wire.journal.branch
 import burdockspread.wire.journal.claimReply
 import burdockspread.wire.journal.copyHead
 import burdockspread.wire.journal.copyKey
@@ -48,10 +48,8 @@
 internal fun CopyKeyMessage.toCopyKey(): CopyKey =
     CopyKey(requestKey(organisation, requestId), GenerationId(generationId))
 
-internal fun requestKey(
-    organisation: String,
-    request: String,
-): RequestKey = RequestKey(OrganisationId(organisation), RequestId(request))
+internal fun requestKey(organisation: String, request: String): RequestKey =
+    RequestKey(OrganisationId(organisation), RequestId(request))
 
 internal fun BranchId.toMessage(): Branch {
     val id = this
@@ -64,13 +62,12 @@
 
 internal fun Branch.toBranchId(): BranchId = BranchId(epoch, HostId(host), nonce)
 
-internal fun Lineage.toMessages(): List<SegmentMessage> =
-    segments.map {
-        segment {
-            branch = it.branch.toMessage()
-            start = it.start
-        }
+internal fun Lineage.toMessages(): List<SegmentMessage> = segments.map {
+    segment {
+        branch = it.branch.toMessage()
+        start = it.start
     }
+}
 
 internal fun List<SegmentMessage>.toLineage(): Lineage =
     Lineage(map { Segment(it.branch.toBranchId(), it.start) }.toPersistentList())
@@ -88,16 +85,15 @@
     }
 }
 
-internal fun JournalBatchMessage.toJournalBatch(): JournalBatch =
-    JournalBatch(
-        key.toCopyKey(),
-        lineageList.toLineage(),
-        offset,
-        tokensList.toImmutableList(),
-        FinishReason.ofWireName(finishReason),
-        requestBody.takeIf { it.isNotEmpty() },
-        Instant.fromEpochMilliseconds(createdAtMillis),
-    )
+internal fun JournalBatchMessage.toJournalBatch(): JournalBatch = JournalBatch(
+    key.toCopyKey(),
+    lineageList.toLineage(),
+    offset,
+    tokensList.toImmutableList(),
+    FinishReason.ofWireName(finishReason),
+    requestBody.takeIf { it.isNotEmpty() },
+    Instant.fromEpochMilliseconds(createdAtMillis),
+)
 
 internal fun AppendOutcome.toMessage(): AppendResult {
     val result = this
@@ -121,13 +117,12 @@
     }
 }
 
-internal fun AppendResult.toAppendOutcome(): AppendOutcome =
-    when (outcome) {
-        AppendResult.Outcome.APPENDED -> AppendOutcome.Appended(length, finished)
-        AppendResult.Outcome.GAP -> AppendOutcome.Gap(length)
-        AppendResult.Outcome.SUPERSEDED -> AppendOutcome.Superseded(by.toBranchId())
-        else -> AppendOutcome.NoRoom
-    }
+internal fun AppendResult.toAppendOutcome(): AppendOutcome = when (outcome) {
+    AppendResult.Outcome.APPENDED -> AppendOutcome.Appended(length, finished)
+    AppendResult.Outcome.GAP -> AppendOutcome.Gap(length)
+    AppendResult.Outcome.SUPERSEDED -> AppendOutcome.Superseded(by.toBranchId())
+    else -> AppendOutcome.NoRoom
+}
 
 internal fun CopyHead.toMessage(): CopyHeadMessage {
     val head = this
@@ -140,14 +135,13 @@
     }
 }
 
-internal fun CopyHeadMessage.toCopyHead(): CopyHead =
-    CopyHead(
-        key.toCopyKey(),
-        owner.toBranchId(),
-        lineageList.toLineage(),
-        length,
-        FinishReason.ofWireName(finishReason),
-    )
+internal fun CopyHeadMessage.toCopyHead(): CopyHead = CopyHead(
+    key.toCopyKey(),
+    owner.toBranchId(),
+    lineageList.toLineage(),
+    length,
+    FinishReason.ofWireName(finishReason),
+)
 
 internal fun JournalCopy.toMessage(): JournalCopyMessage {
     val copy = this
@@ -159,13 +153,12 @@
     }
 }
 
-internal fun JournalCopyMessage.toJournalCopy(): JournalCopy =
-    JournalCopy(
-        head.toCopyHead(),
-        tokensList.toImmutableList(),
-        requestBody,
-        Instant.fromEpochMilliseconds(createdAtMillis),
-    )
+internal fun JournalCopyMessage.toJournalCopy(): JournalCopy = JournalCopy(
+    head.toCopyHead(),
+    tokensList.toImmutableList(),
+    requestBody,
+    Instant.fromEpochMilliseconds(createdAtMillis),
+)
 
 internal fun ClaimOutcome.toMessage(): ClaimReply {
     val result = this
@@ -184,9 +177,8 @@
     }
 }
 
-internal fun ClaimReply.toClaimOutcome(): ClaimOutcome =
-    when (outcome) {
-        ClaimReply.Outcome.CLAIMED -> ClaimOutcome.Claimed(copy.toJournalCopy())
-        ClaimReply.Outcome.SUPERSEDED -> ClaimOutcome.Superseded(by.toBranchId())
-        else -> ClaimOutcome.Missing
-    }
+internal fun ClaimReply.toClaimOutcome(): ClaimOutcome = when (outcome) {
+    ClaimReply.Outcome.CLAIMED -> ClaimOutcome.Claimed(copy.toJournalCopy())
+    ClaimReply.Outcome.SUPERSEDED -> ClaimOutcome.Superseded(by.toBranchId())
+    else -> ClaimOutcome.Missing
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerChannels.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerChannels.kt
@@ -11,17 +11,16 @@
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
 
     /** The channel to [address], an IP:port. */
-    fun to(address: String): ManagedChannel =
-        channels.computeIfAbsent(address) {
-            val ip = it.substringBeforeLast(':')
-            val port = it.substringAfterLast(':').toInt()
-            NettyChannelBuilder
-                .forAddress(ip, port)
-                .usePlaintext()
-                .idleTimeout(IDLE_SECONDS, TimeUnit.SECONDS)
-                .maxInboundMessageSize(MAX_MESSAGE_BYTES)
-                .build()
-        }
+    fun to(address: String): ManagedChannel = channels.computeIfAbsent(address) {
+        val ip = it.substringBeforeLast(':')
+        val port = it.substringAfterLast(':').toInt()
+        NettyChannelBuilder
+            .forAddress(ip, port)
+            .usePlaintext()
+            .idleTimeout(IDLE_SECONDS, TimeUnit.SECONDS)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .build()
+    }
 
     override fun close() {
         channels.values.forEach { it.shutdownNow() }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
@@ -17,8 +17,6 @@
     override fun holders(request: RequestKey): ImmutableList<HostId> =
         directory.holders(request, copies)
 
-    override suspend fun send(
-        holder: HostId,
-        batch: JournalBatch,
-    ): AppendOutcome? = client.append(holder, batch)
+    override suspend fun send(holder: HostId, batch: JournalBatch): AppendOutcome? =
+        client.append(holder, batch)
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerDirectory.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerDirectory.kt
@@ -28,16 +28,11 @@
     fun address(host: HostId): String? = document().host(host)?.peerAddress
 
     /** Hosts that are to hold [copies] copies of the request. */
-    fun holders(
-        request: RequestKey,
-        copies: Int,
-    ): ImmutableList<HostId> = order(exceptSelf = true).holders(request, domain, copies)
+    fun holders(request: RequestKey, copies: Int): ImmutableList<HostId> =
+        order(exceptSelf = true).holders(request, domain, copies)
 
     /** Other hosts that may hold copies of the request. */
-    fun candidates(
-        request: RequestKey,
-        copies: Int,
-    ): ImmutableList<HostId> =
+    fun candidates(request: RequestKey, copies: Int): ImmutableList<HostId> =
         order(exceptSelf = false)
             .candidates(request, copies)
             .filter { it != self }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerReturnFinder.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerReturnFinder.kt
@@ -34,11 +34,7 @@
     private val planner: SessionPlanner,
     private val copies: Int,
 ) : ReturnFinder {
-    override suspend fun find(
-        key: RequestKey,
-        last: EventId?,
-        local: GenerationSession?,
-    ): Found {
+    override suspend fun find(key: RequestKey, last: EventId?, local: GenerationSession?): Found {
         val caller = ReturningCaller(key, last, acceptsRestart = true)
         val sightings = sightings(caller, local)
         return when (val decision = decideReturn(caller, directory.self, sightings)) {
@@ -64,10 +60,7 @@
         return first + ask(caller.key, owners)
     }
 
-    private suspend fun ask(
-        key: RequestKey,
-        hosts: Collection<HostId>,
-    ): List<Sighting> =
+    private suspend fun ask(key: RequestKey, hosts: Collection<HostId>): List<Sighting> =
         coroutineScope {
             hosts.map { async { client.find(it, key) } }.awaitAll().flatten()
         }
@@ -83,22 +76,21 @@
         )
     }
 
-    private suspend fun replay(
-        decision: ReturnDecision.Replay,
-        last: EventId?,
-    ): Found {
+    private suspend fun replay(decision: ReturnDecision.Replay, last: EventId?): Found {
         val here = decision.holder == directory.self
-        val copy = if (here) holder.read(decision.key) else client.read(decision.holder, decision.key)
+        val copy = if (here) {
+            holder.read(
+                decision.key,
+            )
+        } else {
+            client.read(decision.holder, decision.key)
+        }
         val finish = copy?.head?.finish ?: return Found.Decided(restartOrBegin(last))
         val parts = parts(copy, finish, decision.offset)
         return Found.Read(RemoteReader(decision.key.generation, parts))
     }
 
-    private fun parts(
-        copy: JournalCopy,
-        finish: FinishReason,
-        offset: Int,
-    ): Flow<AnswerPart> {
+    private fun parts(copy: JournalCopy, finish: FinishReason, offset: Int): Flow<AnswerPart> {
         val end = EventId(copy.head.key.generation, copy.head.lineage.current, copy.head.length)
         val rest = copy.tokens.subList(offset, copy.tokens.size)
         return flow {
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerServer.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerServer.kt
@@ -8,10 +8,7 @@
 import java.util.concurrent.TimeUnit
 
 /** Serves [services] on [address], an IP:port. */
-internal class PeerServer(
-    address: String,
-    services: List<BindableService>,
-) {
+internal class PeerServer(address: String, services: List<BindableService>) {
     private val server: Server =
         NettyServerBuilder
             .forAddress(
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PresenceRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PresenceRunner.kt
@@ -118,10 +118,7 @@
     fun onHostAnswered(host: HostId): Unit = membership.onAnswer(host, time.now())
 
     /** [host] failed. To be called on the spread's thread. */
-    fun onHostFailed(
-        host: HostId,
-        refused: Boolean,
-    ) {
+    fun onHostFailed(host: HostId, refused: Boolean) {
         val now = time.now()
         perform(if (refused) membership.onRefused(host, now) else membership.onTimeout(host, now))
     }
@@ -167,11 +164,7 @@
         }
     }
 
-    private fun put(
-        key: EntryKey,
-        presence: Presence,
-        value: ByteArray,
-    ) {
+    private fun put(key: EntryKey, presence: Presence, value: ByteArray) {
         val dead = presence.state == MemberState.DEAD
         spread.put(Entry(key, presence.version, EntryBytes.of(value), retired = dead))
     }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/SpreadRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/SpreadRunner.kt
@@ -34,10 +34,7 @@
     fun answered(host: HostId)
 
     /** [host] did not take the connection ([refused]) or did not answer. */
-    fun failed(
-        host: HostId,
-        refused: Boolean,
-    )
+    fun failed(host: HostId, refused: Boolean)
 }
 
 /**
@@ -83,18 +80,16 @@
     /** Figures of the core. */
     suspend fun stats(): SpreadStats = withContext(thread) { core.stats() }
 
-    override suspend fun exchange(request: ExchangeRequest): ExchangeReply =
-        withContext(thread) {
-            val handled = core.onExchange(request.toExchangeRequest(), time.now())
-            perform(handled.effects)
-            handled.reply.toMessage()
-        }
+    override suspend fun exchange(request: ExchangeRequest): ExchangeReply = withContext(thread) {
+        val handled = core.onExchange(request.toExchangeRequest(), time.now())
+        perform(handled.effects)
+        handled.reply.toMessage()
+    }
 
-    override suspend fun push(request: PushRequest): PushReply =
-        withContext(thread) {
-            perform(core.onPush(request.toPushRequest(), time.now()))
-            PushReply.getDefaultInstance()
-        }
+    override suspend fun push(request: PushRequest): PushReply = withContext(thread) {
+        perform(core.onPush(request.toPushRequest(), time.now()))
+        PushReply.getDefaultInstance()
+    }
 
     private fun perform(effects: List<SpreadEffect>) {
         effects.forEach { effect ->
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/SpreadWire.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/SpreadWire.kt
@@ -49,15 +49,14 @@
     }
 }
 
-internal fun ExchangeRequestMessage.toExchangeRequest(): ExchangeRequest =
-    ExchangeRequest(
-        HostId(sender),
-        entriesList.mapNotNull { it.toEntry() }.toImmutableList(),
-        announcedList.mapNotNull { it.toDigest() }.toImmutableList(),
-        wantedList.mapNotNull { it.toKey() }.toImmutableList(),
-        nodesList.mapNotNull { it.toNodeHash() }.toImmutableList(),
-        listingsList.mapNotNull { it.toListing() }.toImmutableList(),
-    )
+internal fun ExchangeRequestMessage.toExchangeRequest(): ExchangeRequest = ExchangeRequest(
+    HostId(sender),
+    entriesList.mapNotNull { it.toEntry() }.toImmutableList(),
+    announcedList.mapNotNull { it.toDigest() }.toImmutableList(),
+    wantedList.mapNotNull { it.toKey() }.toImmutableList(),
+    nodesList.mapNotNull { it.toNodeHash() }.toImmutableList(),
+    listingsList.mapNotNull { it.toListing() }.toImmutableList(),
+)
 
 internal fun ExchangeReply.toMessage(): ExchangeReplyMessage {
     val reply = this
@@ -71,15 +70,14 @@
     }
 }
 
-internal fun ExchangeReplyMessage.toExchangeReply(): ExchangeReply =
-    ExchangeReply(
-        entriesList.mapNotNull { it.toEntry() }.toImmutableList(),
-        knownList.toImmutableList(),
-        wantedList.mapNotNull { it.toKey() }.toImmutableList(),
-        nodesList.mapNotNull { it.toNodeHash() }.toImmutableList(),
-        listingsList.mapNotNull { it.toListing() }.toImmutableList(),
-        truncated,
-    )
+internal fun ExchangeReplyMessage.toExchangeReply(): ExchangeReply = ExchangeReply(
+    entriesList.mapNotNull { it.toEntry() }.toImmutableList(),
+    knownList.toImmutableList(),
+    wantedList.mapNotNull { it.toKey() }.toImmutableList(),
+    nodesList.mapNotNull { it.toNodeHash() }.toImmutableList(),
+    listingsList.mapNotNull { it.toListing() }.toImmutableList(),
+    truncated,
+)
 
 internal fun PushRequest.toMessage(): PushRequestMessage {
     val request = this
@@ -103,10 +101,9 @@
     }
 }
 
-private fun EntryMessage.toEntry(): Entry? =
-    kindOf(kind)?.let {
-        Entry(EntryKey(it, name), version, EntryBytes.of(value.toByteArray()), retired)
-    }
+private fun EntryMessage.toEntry(): Entry? = kindOf(kind)?.let {
+    Entry(EntryKey(it, name), version, EntryBytes.of(value.toByteArray()), retired)
+}
 
 private fun EntryDigest.toMessage(): EntryDigestMessage {
     val digest = this
@@ -148,10 +145,9 @@
     }
 }
 
-private fun NodeListingMessage.toListing(): NodeListing? =
-    node.toNode()?.let { node ->
-        NodeListing(node, digestsList.mapNotNull { it.toDigest() }.toImmutableList())
-    }
+private fun NodeListingMessage.toListing(): NodeListing? = node.toNode()?.let { node ->
+    NodeListing(node, digestsList.mapNotNull { it.toDigest() }.toImmutableList())
+}
 
 private fun TreeNode.toMessage(): TreeNodeMessage {
     val node = this
--- a/burdock-entry/src/main/kotlin/burdockspread/pool/TargetRouter.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/pool/TargetRouter.kt
@@ -2,6 +2,12 @@
 package burdockspread.pool
 
 import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import burdockspread.admission.Admission
+import burdockspread.admission.AdmissionDecision
+import burdockspread.admission.AdmissionEffect
+import burdockspread.admission.Ticket
 import burdockspread.document.DocumentView
 import burdockspread.document.Target
 import burdockspread.error.Refusal
@@ -10,6 +16,7 @@
 import burdockspread.id.ServiceId
 import burdockspread.id.TargetId
 import burdockspread.retry.RetryBudget
+import burdockspread.route.Choice
 import burdockspread.route.Flight
 import burdockspread.route.PoolKey
 import burdockspread.route.RouteRequest
@@ -17,9 +24,12 @@
 import burdockspread.route.TargetPool
 import burdockspread.route.TargetRegistry
 import burdockspread.route.TargetSpec
+import burdockspread.time.TimeSource
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Instant
@@ -49,6 +59,8 @@
     /** The chooser, which also takes load reports and weights. */
     public val chooser: TargetChooser = TargetChooser(ownDomain, registry, seed)
     private val pools = AtomicReference(Pools(DocumentView.EMPTY, persistentMapOf()))
+    private val admission = Admission(chooser)
+    private val turns = ConcurrentHashMap<Ticket, CompletableDeferred<Either<Refusal, Choice>>>()
     private val budgets = ConcurrentHashMap<PoolKey, RetryBudget>()
 
     /** Builds the pools anew from [document] and the filter. */
@@ -65,16 +77,78 @@
         pools.set(Pools(document, byKey.toPersistentMap()))
     }
 
-    /** Chooses a target of [key] for [request] and records the request as sent. */
+    /**
+     * Chooses a target of [key] for [request] and records the request as sent. Avoided targets are
+     * taken when no other is left.
+     */
     public fun route(key: PoolKey, request: RouteRequest, now: Instant): Either<Refusal, Route> {
         val snapshot = pools.get()
-        val pool = snapshot.byKey[key] ?: registry.pool(key, emptyList())
-        return chooser.choose(request, pool, now).map { choice ->
-            val target = checkNotNull(snapshot.document.target(choice.target.id))
-            Route(target, chooser.onSent(request, choice, now))
+        val pool = snapshot.pool(key)
+        val choice = chooser.choose(request, pool, now)
+        val anyChoice =
+            if (choice.isLeft() && request.avoid.isNotEmpty()) {
+                chooser.choose(request.copy(avoid = persistentSetOf()), pool, now)
+            } else {
+                choice
+            }
+        return anyChoice.map { sent(snapshot, request, it, now) }
+    }
+
+    /**
+     * Lets [request] in at once, after a wait, or not at all: a refused one was not sent anywhere
+     * and will not be.
+     */
+    public suspend fun admit(
+        key: PoolKey,
+        request: RouteRequest,
+        time: TimeSource,
+    ): Either<Refusal, Route> {
+        val snapshot = pools.get()
+        val decision = admission.admit(request, snapshot.pool(key), time.now())
+        val choice =
+            when (decision) {
+                is AdmissionDecision.Run -> decision.choice.right()
+                is AdmissionDecision.Refuse -> decision.refusal.left()
+                is AdmissionDecision.Wait -> awaitTurn(decision.ticket)
+            }
+        return choice.map { sent(pools.get(), request, it, time.now()) }
+    }
+
+    /** Lets waiting requests in that fit now. To be called every few tens of milliseconds. */
+    public fun advance(now: Instant) {
+        if (turns.isEmpty()) return
+        pools.get().byKey.values.filter { admission.waiting(it) > 0 }.forEach { pool ->
+            admission.onSlotFreed(pool, now).forEach(::finishTurn)
         }
     }
 
+    private suspend fun awaitTurn(ticket: Ticket): Either<Refusal, Choice> = try {
+        turnOf(ticket).await()
+    } finally {
+        turns.remove(ticket)
+        admission.cancel(ticket)
+    }
+
+    private fun finishTurn(effect: AdmissionEffect) {
+        val result =
+            when (effect) {
+                is AdmissionEffect.Run -> effect.choice.right()
+                is AdmissionEffect.Refuse -> effect.refusal.left()
+            }
+        turnOf(effect.ticket).complete(result)
+    }
+
+    /** The turn may end before its request begins to wait for it. */
+    private fun turnOf(ticket: Ticket): CompletableDeferred<Either<Refusal, Choice>> =
+        turns.computeIfAbsent(ticket) { CompletableDeferred() }
+
+    private fun sent(snapshot: Pools, request: RouteRequest, choice: Choice, now: Instant): Route {
+        val target = checkNotNull(snapshot.document.target(choice.target.id))
+        return Route(target, chooser.onSent(request, choice, now))
+    }
+
+    private fun Pools.pool(key: PoolKey): TargetPool = byKey[key] ?: registry.pool(key, emptyList())
+
     /** The retry budget of the pool [key]. */
     public fun budget(key: PoolKey): RetryBudget = budgets.computeIfAbsent(key) { RetryBudget() }
 
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/AnswerReader.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AnswerReader.kt
@@ -47,21 +47,20 @@
 ) : AnswerReader {
     override val generation: GenerationId get() = start.generation
 
-    override fun parts(): Flow<AnswerPart> =
-        flow {
-            var next = start.offset
-            while (true) {
-                val state = progress.first { it.released > next || it.end != null }
-                if (state.released > next) {
-                    val fresh = tokens.slice(next, state.released)
-                    next = state.released
-                    emit(AnswerPart.Tokens(start.copy(offset = next), fresh))
-                } else {
-                    emit(AnswerPart.End(start.copy(offset = next), checkNotNull(state.end)))
-                    return@flow
-                }
+    override fun parts(): Flow<AnswerPart> = flow {
+        var next = start.offset
+        while (true) {
+            val state = progress.first { it.released > next || it.end != null }
+            if (state.released > next) {
+                val fresh = tokens.slice(next, state.released)
+                next = state.released
+                emit(AnswerPart.Tokens(start.copy(offset = next), fresh))
+            } else {
+                emit(AnswerPart.End(start.copy(offset = next), checkNotNull(state.end)))
+                return@flow
             }
         }
+    }
 
     override fun close(): Unit = onClose()
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
@@ -58,9 +58,16 @@
     }
 
     private suspend fun run(effect: GenerationEffect.OpenAttempt) {
-        val now = services.time.now()
-        services.router.route(poolOf(request.spec.model), routeRequest(effect), now).fold(
-            { failed(effect.attempt, null, FailureCause.NO_TARGET) },
+        val pool = poolOf(request.spec.model)
+        if (effect.attempt.value > 1 || effect.prefix.isNotEmpty()) {
+            val route = services.router.route(pool, routeRequest(effect), services.time.now())
+            return route.fold(
+                { failed(effect.attempt, null, FailureCause.NO_TARGET) },
+                { send(effect, it) },
+            )
+        }
+        services.router.admit(pool, routeRequest(effect), services.time).fold(
+            { inputs.send(SessionInput.NotAdmitted(it)) },
             { send(effect, it) },
         )
     }
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationHandler.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationHandler.kt
@@ -33,10 +33,7 @@
     fun runningSessions(): List<GenerationSession> = running.toList()
 
     /** Serves [request], whose facts are in [context]. */
-    suspend fun serve(
-        request: CompletionRequest,
-        context: RequestContext,
-    ): RequestResult =
+    suspend fun serve(request: CompletionRequest, context: RequestContext): RequestResult =
         plan(request, context)
             .flatMap { find(request, context, it) }
             .fold({ ErrorResult(it) }, { GenerationResult(it) })
@@ -44,14 +41,13 @@
     private fun plan(
         request: CompletionRequest,
         context: RequestContext,
-    ): Either<Refusal, SessionRequest> =
-        planner.plan(
-            request.id,
-            request.body,
-            context.requireOrganisation(),
-            context.document,
-            request.receivedAt,
-        )
+    ): Either<Refusal, SessionRequest> = planner.plan(
+        request.id,
+        request.body,
+        context.requireOrganisation(),
+        context.document,
+        request.receivedAt,
+    )
 
     private suspend fun find(
         request: CompletionRequest,
@@ -73,19 +69,15 @@
         decision: ReturnDecision,
         plan: SessionRequest,
         local: GenerationSession?,
-    ): Either<Refusal, AnswerReader> =
-        when (decision) {
-            is ReturnDecision.Refuse -> decision.refusal.left()
-            is ReturnDecision.AttachHere -> attach(plan, decision.offset)
-            is ReturnDecision.Restart -> restart(plan, local)
-            else -> attach(plan, 0)
-        }
+    ): Either<Refusal, AnswerReader> = when (decision) {
+        is ReturnDecision.Refuse -> decision.refusal.left()
+        is ReturnDecision.AttachHere -> attach(plan, decision.offset)
+        is ReturnDecision.Restart -> restart(plan, local)
+        else -> attach(plan, 0)
+    }
 
     /** Attaches to the session of the request, or starts one. */
-    private fun attach(
-        plan: SessionRequest,
-        offset: Int,
-    ): Either<Refusal, AnswerReader> =
+    private fun attach(plan: SessionRequest, offset: Int): Either<Refusal, AnswerReader> =
         when (val opening = open.open(plan.key, fingerprint(plan)) { session(plan) }) {
             is Opening.Refused -> opening.refusal.left()
             is Opening.Attached -> opening.generation.reader(offset).right()
@@ -128,13 +120,12 @@
         lineage: Lineage,
         context: RequestContext,
         plan: SessionRequest,
-    ): Either<Refusal, SessionRequest> =
-        SessionRequest.parseJournalBody(copy.body)
-            .flatMap { body ->
-                val organisation = context.requireOrganisation()
-                val now = services.time.now()
-                planner.plan(plan.key.request, body, organisation, context.document, now)
-            }.map { it.copy(generation = copy.head.key.generation, lineage = lineage) }
+    ): Either<Refusal, SessionRequest> = SessionRequest.parseJournalBody(copy.body)
+        .flatMap { body ->
+            val organisation = context.requireOrganisation()
+            val now = services.time.now()
+            planner.plan(plan.key.request, body, organisation, context.document, now)
+        }.map { it.copy(generation = copy.head.key.generation, lineage = lineage) }
 
     private fun session(plan: SessionRequest): GenerationSession = GenerationSession(services, plan)
 
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationSession.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationSession.kt
@@ -89,15 +89,12 @@
     }
 
     /** Whether a caller that has what [last] names may go on with this generation. */
-    fun continues(last: EventId?): Boolean =
-        last == null || last.generation == request.generation &&
-            request.lineage.admits(last.branch, last.offset, progress.value.released)
+    fun continues(last: EventId?): Boolean = last == null ||
+        last.generation == request.generation &&
+        request.lineage.admits(last.branch, last.offset, progress.value.released)
 
     /** Adds a reader that begins at [offset]. */
-    fun reader(
-        offset: Int,
-        restarted: Boolean = false,
-    ): AnswerReader {
+    fun reader(offset: Int, restarted: Boolean = false): AnswerReader {
         readers.incrementAndGet()
         val start = EventId(request.generation, request.lineage.current, offset)
         return LocalReader(start, restarted, tokens, progress, ::readerLeft)
@@ -110,10 +107,7 @@
     /** Hands the generation over to a holder of its copies, because this host stops. */
     suspend fun handOver(): Unit = tell(SessionInput.ForJournal(JournalInput.HandOver))
 
-    override fun release(
-        until: Int,
-        finish: FinishReason?,
-    ) {
+    override fun release(until: Int, finish: FinishReason?) {
         val next = Progress(until, finish?.let { AnswerEnd.Whole(it) })
         if (state.updateAndGet { if (it.end == null) next else it } !== next) return
         if (finish != null) services.listener.generationEnded(tag, attempts.opened, until, null)
@@ -134,6 +128,7 @@
         when (input) {
             is SessionInput.ForGeneration -> perform(generation.handle(input.input, now), now)
             is SessionInput.ForJournal -> journal.handle(input.input, now)
+            is SessionInput.NotAdmitted -> giveUp(input.refusal)
             is SessionInput.Tick -> {
                 perform(generation.handle(GenerationInput.Tick, now), now)
                 journal.handle(JournalInput.Tick, now)
@@ -148,10 +143,7 @@
         return withTimeoutOrNull(wait) { inputs.receive() } ?: SessionInput.Tick
     }
 
-    private fun perform(
-        effects: List<GenerationEffect>,
-        now: Instant,
-    ) {
+    private fun perform(effects: List<GenerationEffect>, now: Instant) {
         effects.forEach { effect ->
             when (effect) {
                 is GenerationEffect.OpenAttempt -> attempts.open(effect)
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/JournalDriver.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/JournalDriver.kt
@@ -16,10 +16,7 @@
 /** What the journal tells its session. */
 internal interface JournalOutput {
     /** Callers may see the tokens below [until], and the end once [finish] is set. */
-    fun release(
-        until: Int,
-        finish: FinishReason?,
-    )
+    fun release(until: Int, finish: FinishReason?)
 
     /** This host runs the generation no longer. */
     fun giveUp(refusal: Refusal)
@@ -49,19 +46,13 @@
     fun nextDeadline(): Instant? = journal.nextDeadline()
 
     /** Hands [input] to the journal. */
-    fun handle(
-        input: JournalInput,
-        now: Instant,
-    ) {
+    fun handle(input: JournalInput, now: Instant) {
         if (!holdersKnown && copiesAreDue(input, now)) chooseHolders(now)
         perform(journal.handle(input, now))
         if (input is JournalInput.Unreachable) chooseHolders(now)
     }
 
-    private fun copiesAreDue(
-        input: JournalInput,
-        now: Instant,
-    ): Boolean =
+    private fun copiesAreDue(input: JournalInput, now: Instant): Boolean =
         input is JournalInput.HandOver ||
             request.lineage.segments.size > 1 ||
             now - request.receivedAt >= policy.copyAfter ||
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/SessionListener.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/SessionListener.kt
@@ -13,14 +13,9 @@
     private val listener: EntryListener,
     private val tag: GenerationTag,
 ) : GenerationListener {
-    override fun dropped(
-        attempt: AttemptNumber,
-        reason: DropReason,
-        tokens: Int,
-    ): Unit = listener.tokensDropped(tag, attempt, reason, tokens)
+    override fun dropped(attempt: AttemptNumber, reason: DropReason, tokens: Int): Unit =
+        listener.tokensDropped(tag, attempt, reason, tokens)
 
-    override fun stalled(
-        attempt: AttemptNumber,
-        target: TargetId?,
-    ): Unit = listener.attemptFailed(tag, attempt, target, "STALLED")
+    override fun stalled(attempt: AttemptNumber, target: TargetId?): Unit =
+        listener.attemptFailed(tag, attempt, target, "STALLED")
 }
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/SessionPlanner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/SessionPlanner.kt
@@ -22,10 +22,7 @@
 import kotlin.time.Instant
 
 /** Checks requests against the document and names their generations. */
-internal class SessionPlanner(
-    private val host: HostId,
-    private val random: Random,
-) {
+internal class SessionPlanner(private val host: HostId, private val random: Random) {
     /** A new branch of this host at [epoch]. */
     fun branch(epoch: Long): BranchId = BranchId(epoch, host, random.nextLong())
 
@@ -36,34 +33,33 @@
         organisation: Organisation,
         document: DocumentView,
         now: Instant,
-    ): Either<Refusal, SessionRequest> =
-        either {
-            val model = ensureNotNull(document.model(body.model)) {
-                Refusal(ErrorCode.UNKNOWN_MODEL, "no model \"${body.model}\"")
-            }
-            ensure(body.maxTokens <= model.maxTokens) {
-                Refusal(ErrorCode.TOO_MANY_TOKENS, "at most ${model.maxTokens} tokens")
-            }
-            val name = body.priority?.let { PriorityName(it) } ?: organisation.defaultPriority
-            val priority = ensureNotNull(document.priority(name)) {
-                Refusal(ErrorCode.MALFORMED_REQUEST, "priority: no priority \"$name\"")
-            }
-            SessionRequest(
-                RequestKey(organisation.id, id),
-                GenerationId("$host-${random.nextLong().toULong().toString(RADIX)}"),
-                Lineage.of(branch(epoch = 1)),
-                body,
-                GenerationSpec(
-                    model.id,
-                    body.maxTokens,
-                    priority.recovery,
-                    priority.firstTokenDeadline,
-                ),
-                priority.level,
-                model.version,
-                now,
-            )
+    ): Either<Refusal, SessionRequest> = either {
+        val model = ensureNotNull(document.model(body.model)) {
+            Refusal(ErrorCode.UNKNOWN_MODEL, "no model \"${body.model}\"")
         }
+        ensure(body.maxTokens <= model.maxTokens) {
+            Refusal(ErrorCode.TOO_MANY_TOKENS, "at most ${model.maxTokens} tokens")
+        }
+        val name = body.priority?.let { PriorityName(it) } ?: organisation.defaultPriority
+        val priority = ensureNotNull(document.priority(name)) {
+            Refusal(ErrorCode.MALFORMED_REQUEST, "priority: no priority \"$name\"")
+        }
+        SessionRequest(
+            RequestKey(organisation.id, id),
+            GenerationId("$host-${random.nextLong().toULong().toString(RADIX)}"),
+            Lineage.of(branch(epoch = 1)),
+            body,
+            GenerationSpec(
+                model.id,
+                body.maxTokens,
+                priority.recovery,
+                priority.firstTokenDeadline,
+            ),
+            priority.level,
+            model.version,
+            now,
+        )
+    }
 
     private companion object {
         const val RADIX = 36
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/SessionServices.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/SessionServices.kt
@@ -21,10 +21,7 @@
     fun holders(request: RequestKey): ImmutableList<HostId>
 
     /** Sends [batch] to [holder]; null when it did not answer. */
-    suspend fun send(
-        holder: HostId,
-        batch: JournalBatch,
-    ): AppendOutcome?
+    suspend fun send(holder: HostId, batch: JournalBatch): AppendOutcome?
 }
 
 /** Services that every [GenerationSession] of a host uses. */
--- /dev/null
+++ b/burdock-entry/src/test/kotlin/burdockspread/pool/TargetRouterTest.kt
@@ -0,0 +1,69 @@
+package burdockspread.pool
+
+import burdockspread.document.DocumentView
+import burdockspread.document.FailureDomain
+import burdockspread.document.SectionBody
+import burdockspread.document.Target
+import burdockspread.id.FailureDomainId
+import burdockspread.id.ModelId
+import burdockspread.id.TargetId
+import burdockspread.route.RouteRequest
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Instant
+
+class TargetRouterTest {
+    private val now = Instant.fromEpochSeconds(1_000)
+    private val domain = FailureDomainId("a")
+    private val model = ModelId("m")
+    private val working = mutableSetOf("t-1", "t-2")
+    private val router = TargetRouter(domain, seed = 7) { it.id.value in working }
+
+    init {
+        router.rebuild(document())
+    }
+
+    private fun document(): DocumentView {
+        val targets = persistentListOf(target("t-1"), target("t-2"))
+        val failureDomain = FailureDomain(domain, "r", persistentListOf(), targets)
+        return DocumentView.of(listOf(SectionBody("a", "o", 1, failureDomain = failureDomain)))
+    }
+
+    private fun target(name: String): Target = Target(
+        TargetId(name),
+        domain,
+        "127.0.0.1:1",
+        persistentListOf(model),
+        service = null,
+        checksFencing = false,
+        leaving = false,
+        batchSlots = 4,
+    )
+
+    private fun route(vararg avoid: String): String? {
+        val ids = persistentSetOf(*avoid.map { TargetId(it) }.toTypedArray())
+        val route = router.route(poolOf(model), RouteRequest(avoid = ids), now).getOrNull()
+        return route?.target?.id?.value
+    }
+
+    @Test
+    fun `an avoided target is left out while another one is there`() {
+        repeat(20) { assertEquals("t-2", route("t-1")) }
+    }
+
+    @Test
+    fun `an avoided target is taken when no other one is left`() {
+        assertTrue(route("t-1", "t-2") in working)
+    }
+
+    @Test
+    fun `a target that takes no work is never taken`() {
+        working -= "t-1"
+        router.rebuild(document())
+        repeat(20) { assertEquals("t-2", route()) }
+        assertEquals("t-2", route("t-1", "t-2"))
+    }
+}
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/Daemons.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/Daemons.kt
@@ -27,10 +27,7 @@
     return runBlocking { awaitStop() }
 }
 
-private fun onSignal(
-    stop: () -> Unit,
-    awaitStop: suspend () -> ExitCode,
-) {
+private fun onSignal(stop: () -> Unit, awaitStop: suspend () -> ExitCode) {
     stop()
     val exit = runBlocking { awaitStop() }
     LogManager.getLogger("main").info("stopped: {}", exit)
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
@@ -5,6 +5,10 @@
 import burdockspread.wire.settings.HostSettings
 import burdockspread.wire.settings.StewardSettings
 import burdockspread.wire.settings.StoreSettings
+import kotlin.time.Duration.Companion.seconds
+
+/** Time that an order to a target may take; a lease must leave room for it. */
+private val LONGEST_ORDER = 3.seconds
 
 /** Loader of the settings of `burdock-entry`. */
 public val entrySettings: SettingsLoader<EntrySettings> =
@@ -33,7 +37,11 @@
         positive("duties.renew", duties.renew)
         positive("duties.margin", duties.margin)
         val spare = duties.lease.toKotlin() - duties.margin.toKotlin() - duties.renew.toKotlin()
-        check("duties.renew", spare.isPositive(), "renew and margin together must be below lease")
+        check(
+            "duties.renew",
+            spare > LONGEST_ORDER,
+            "lease must exceed renew and margin together by more than $LONGEST_ORDER",
+        )
         settings.seedPeersList.forEachIndexed { i, peer -> address("seedPeers[$i]", peer) }
     }
 
--- a/burdock-settings/src/test/kotlin/burdockspread/settings/SettingsLoaderTest.kt
+++ b/burdock-settings/src/test/kotlin/burdockspread/settings/SettingsLoaderTest.kt
@@ -17,8 +17,8 @@
     @Test
     fun `refuses an impossible combination with its path`() {
         assertEquals(
-            listOf("duties.renew: renew and margin together must be below lease"),
-            problems(steward("9s")),
+            listOf("duties.renew: lease must exceed renew and margin together by more than 3s"),
+            problems(steward("5s")),
         )
     }
 
--- a/burdock-steward/src/main/kotlin/burdockspread/steward/LeaseStore.kt
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/LeaseStore.kt
@@ -23,12 +23,11 @@
     private val resolving: ResolvingStore = ResolvingStore(store),
 ) {
     /** The lease object of [duty]. */
-    suspend fun read(duty: Duty): LeaseRead =
-        when (val read = store.get(keyOf(duty))) {
-            is ReadResult.Found -> found(read.value)
-            is ReadResult.Missing -> LeaseRead.Missing
-            is ReadResult.Unavailable -> LeaseRead.Unavailable
-        }
+    suspend fun read(duty: Duty): LeaseRead = when (val read = store.get(keyOf(duty))) {
+        is ReadResult.Found -> found(read.value)
+        is ReadResult.Missing -> LeaseRead.Missing
+        is ReadResult.Unavailable -> LeaseRead.Unavailable
+    }
 
     /** Carries out [write]. */
     suspend fun write(write: LeaseEffect.Write): ResolvedWrite {
@@ -47,13 +46,12 @@
             },
         )
 
-    private fun toMessage(record: LeaseRecord): Lease =
-        lease {
-            holder = record.holder.orEmpty()
-            duration =
-                DurationMessage.newBuilder().setSeconds(record.duration.inWholeSeconds).build()
-            token = record.token
-        }
+    private fun toMessage(record: LeaseRecord): Lease = lease {
+        holder = record.holder.orEmpty()
+        duration =
+            DurationMessage.newBuilder().setSeconds(record.duration.inWholeSeconds).build()
+        token = record.token
+    }
 
     private fun keyOf(duty: Duty): ObjectKey = ObjectKey(Duty.OBJECT_KIND, duty.name)
 }
--- a/burdock-steward/src/main/kotlin/burdockspread/steward/PlacementRunner.kt
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/PlacementRunner.kt
@@ -104,7 +104,9 @@
     }
 
     private fun desired(document: DocumentView): DesiredPlacement {
-        val engines = document.failureDomain(domain)?.targets.orEmpty().filter { it.service == null }
+        val engines = document.failureDomain(domain)?.targets.orEmpty().filter {
+            it.service == null
+        }
         val floors = document.models.associate { it.id to it.floorTargets }
         val sizes = document.failureDomains.associate { it.id to it.targets.size }
         val shares = LoadShares(MAX_LOADS, sizes.toImmutableMap())
@@ -115,31 +117,27 @@
         )
     }
 
-    private fun desired(
-        target: Target,
-        document: DocumentView,
-    ): DesiredTarget {
+    private fun desired(target: Target, document: DocumentView): DesiredTarget {
         val models = target.models.mapNotNull { document.model(it) }.associate {
             it.id to ModelSpec(it.version, it.adapters.toImmutableSet())
         }
         return DesiredTarget(target.id, target.checksFencing, models.toImmutableMap())
     }
 
-    private fun desiredJson(order: Order): String =
-        buildJsonObject {
-            when (order) {
-                is Order.LoadModel -> {
-                    put("load", order.model.value)
-                    put("version", order.version)
-                }
-                is Order.UnloadModel -> put("unload", order.model.value)
-                is Order.SetAdapters -> {
-                    put("adapters_of", order.model.value)
-                    put("adapters", buildJsonArray { order.adapters.forEach { add(it) } })
-                }
-                is Order.ChangeRole -> put("role", order.role.name)
+    private fun desiredJson(order: Order): String = buildJsonObject {
+        when (order) {
+            is Order.LoadModel -> {
+                put("load", order.model.value)
+                put("version", order.version)
+            }
+            is Order.UnloadModel -> put("unload", order.model.value)
+            is Order.SetAdapters -> {
+                put("adapters_of", order.model.value)
+                put("adapters", buildJsonArray { order.adapters.forEach { add(it) } })
             }
-        }.toString()
+            is Order.ChangeRole -> put("role", order.role.name)
+        }
+    }.toString()
 
     private companion object {
         /** Loads that the weight store bears at once over all failure domains. */
--- a/burdock-steward/src/main/kotlin/burdockspread/steward/StewardProcess.kt
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/StewardProcess.kt
@@ -26,9 +26,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Holds the placement duty of its failure domain, if it gets the lease. */
-internal class StewardProcess(
-    private val settings: StewardSettings,
-) {
+internal class StewardProcess(private val settings: StewardSettings) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val thread = Dispatchers.Default.limitedParallelism(1)
     private val time = MonotonicTime()
--- a/burdock-steward/src/main/kotlin/burdockspread/steward/StewardServer.kt
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/StewardServer.kt
@@ -39,14 +39,15 @@
 )
 
 /** Serves health, the state dump and the order to stop. */
-internal class StewardServer(
-    private val address: String,
-    private val dump: () -> StewardDump,
-) {
+internal class StewardServer(private val address: String, private val dump: () -> StewardDump) {
     private lateinit var onDrain: () -> Unit
 
     private val server =
-        embeddedServer(Netty, address.substringAfterLast(':').toInt(), address.substringBeforeLast(':')) {
+        embeddedServer(
+            Netty,
+            address.substringAfterLast(':').toInt(),
+            address.substringBeforeLast(':'),
+        ) {
             routing {
                 get("/healthz") { call.respondText("ok") }
                 get("/readyz") { call.respondText("ready") }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -22,14 +22,11 @@
 import kotlin.time.Duration
 
 /** Speaks `POST /admin/orders` and `GET /admin/state`; no call takes longer than [timeout]. */
-public class HttpOrderClient(
-    timeout: Duration,
-) : OrderClient,
+public class HttpOrderClient(timeout: Duration) :
+    OrderClient,
     Closeable {
     @Serializable
-    private data class StateJson(
-        val models: Map<String, String> = emptyMap(),
-    )
+    private data class StateJson(val models: Map<String, String> = emptyMap())
 
     private val client =
         HttpClient(CIO) {
@@ -40,38 +37,36 @@
             }
         }
 
-    override suspend fun send(call: OrderCall): OrderAnswer =
-        try {
-            val response =
-                client.post("http://${call.address}/admin/orders") {
-                    contentType(ContentType.Application.Json)
-                    setBody("""{"fencing_token":${call.fencingToken},"desired":${call.desired}}""")
-                }
-            when {
-                response.status.isSuccess() -> OrderAnswer.Accepted
-                response.status == HttpStatusCode.Conflict -> OrderAnswer.Fenced
-                else -> OrderAnswer.Failed("status ${response.status.value}")
+    override suspend fun send(call: OrderCall): OrderAnswer = try {
+        val response =
+            client.post("http://${call.address}/admin/orders") {
+                contentType(ContentType.Application.Json)
+                setBody("""{"fencing_token":${call.fencingToken},"desired":${call.desired}}""")
             }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: ConnectException) {
-            OrderAnswer.Failed(e.message.orEmpty())
-        } catch (e: ConnectTimeoutException) {
-            OrderAnswer.Failed(e.message.orEmpty())
-        } catch (e: Exception) {
-            OrderAnswer.Unknown(e.message.orEmpty())
+        when {
+            response.status.isSuccess() -> OrderAnswer.Accepted
+            response.status == HttpStatusCode.Conflict -> OrderAnswer.Fenced
+            else -> OrderAnswer.Failed("status ${response.status.value}")
         }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        OrderAnswer.Failed(e.message.orEmpty())
+    } catch (e: ConnectTimeoutException) {
+        OrderAnswer.Failed(e.message.orEmpty())
+    } catch (e: Exception) {
+        OrderAnswer.Unknown(e.message.orEmpty())
+    }
 
-    override suspend fun state(address: String): EngineState? =
-        try {
-            val response = client.get("http://$address/admin/state")
-            val state = json.decodeFromString<StateJson>(response.bodyAsText())
-            EngineState(state.models.toImmutableMap()).takeIf { response.status.isSuccess() }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            null
-        }
+    override suspend fun state(address: String): EngineState? = try {
+        val response = client.get("http://$address/admin/state")
+        val state = json.decodeFromString<StateJson>(response.bodyAsText())
+        EngineState(state.models.toImmutableMap()).takeIf { response.status.isSuccess() }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        null
+    }
 
     override fun close() {
         client.close()
