Show the fleet's health: polled loads, quiet decay, head-room by failure domain

Cause: routing ran without load reports and GET /fleet was empty. Change: each engine is polled by one host of its failure domain, which passes the load on; each host looks for decay among the targets it uses; summaries of domains travel with the spread; GET /fleet and burdockctl fleet show them.

--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -16,6 +16,7 @@
         streamThroughEngineDeath()
         book()
         edit()
+        showFleet()
         stop()
         return failures.toList()
     }
@@ -109,6 +110,9 @@
         val ask = Ask("Claim draft:", EDITED_MAX_TOKENS + 1, "demo-edit", stream = false)
         val result = fleet.teams.edit(fleet.document.models(EDITED_MAX_TOKENS))
         println(result.text.prependIndent("  "))
+        val rollout = fleet.teams.run("models", "rollout", "models", "--wait")
+        println(rollout.text.prependIndent("  "))
+        check("burdockctl saw the edit in force on every host", rollout.status == 0)
         fleet.await("edit in force on every host") {
             fleet.layout.entries.all { caller.whole(it.caller, ask).status == BAD_REQUEST }
         }
@@ -117,6 +121,13 @@
         check("the new limit refuses a longer answer", refusal.body.contains("\"code\":110"))
     }
 
+    private fun showFleet() {
+        step("show the health of the fleet")
+        val table = fleet.teams.run("platform", "fleet")
+        println(table.text.prependIndent("  "))
+        check("burdockctl showed the fleet", table.status == 0)
+    }
+
     private fun stop() {
         step("stop the entry hosts by SIGTERM")
         fleet.layout.entries.forEach {
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -7,12 +7,14 @@
 import burdockspread.document.VersionedEntry
 import burdockspread.document.relay.RelayChoice
 import burdockspread.generation.OpenGenerations
+import burdockspread.health.DomainSummary
 import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
 import burdockspread.id.TargetId
 import burdockspread.journal.CopyLimits
 import burdockspread.journal.CopyPolicy
 import burdockspread.limit.OrganisationLimits
+import burdockspread.load.TargetLoad
 import burdockspread.membership.MemberState
 import burdockspread.membership.MembershipSettings
 import burdockspread.membership.MembershipSnapshot
@@ -30,6 +32,9 @@
 import burdockspread.peer.PresenceRunner
 import burdockspread.peer.SpreadOutput
 import burdockspread.peer.SpreadRunner
+import burdockspread.peer.toDomainSummary
+import burdockspread.peer.toEntry
+import burdockspread.peer.toTargetLoad
 import burdockspread.pool.TargetObserver
 import burdockspread.settings.toKotlin
 import burdockspread.spread.Entry
@@ -57,6 +62,15 @@
 
     /** Another host or the platform asks this host to leave. */
     fun drainRequested()
+
+    /** Another host of the failure domain read the load of [target]. */
+    fun loadArrived(
+        target: TargetId,
+        load: TargetLoad,
+    )
+
+    /** Another failure domain tells its head-room. */
+    fun summaryArrived(summary: DomainSummary)
 }
 
 /** The peer port, the connections to other hosts and the copies held for them. */
@@ -67,7 +81,7 @@
     open: OpenGenerations<GenerationSession>,
     planner: SessionPlanner,
     time: TimeSource,
-    events: PeerEvents,
+    private val events: PeerEvents,
 ) : TargetObserver,
     ChangeSink {
     private val host = HostId(settings.host.name)
@@ -157,6 +171,21 @@
         return RelayChoice.isRelay(host, live.map { it.host })
     }
 
+    /** Live hosts of the own failure domain, this one included. */
+    fun domainHosts(): List<HostId> =
+        (presence.hosts.usable().filter { it.domain == domain }.map { it.host } + host).distinct()
+
+    /** Passes the load of [target] on in the failure domain. */
+    fun publish(
+        target: TargetId,
+        load: TargetLoad,
+    ): Unit = spread.put(load.toEntry(target))
+
+    /** Passes the summary of the own failure domain on, if this host speaks for it. */
+    fun publish(summary: DomainSummary) {
+        if (isRelay()) spread.put(summary.toEntry())
+    }
+
     /** Whether [target] may be given new work. */
     fun takesNewWork(target: TargetId): Boolean = presence.takesNewWork(target)
 
@@ -213,6 +242,9 @@
                 when (entry.key.kind) {
                     EntryKind.SECTION -> offer(entry)
                     EntryKind.HOST, EntryKind.TARGET -> presence.onEntry(entry)
+                    EntryKind.LOAD ->
+                        events.loadArrived(TargetId(entry.key.name), entry.toTargetLoad())
+                    EntryKind.DOMAIN_LOAD -> events.summaryArrived(entry.toDomainSummary())
                     else -> Unit
                 }
             }
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -9,10 +9,16 @@
 import burdockspread.document.DocumentListener
 import burdockspread.document.DocumentSnapshot
 import burdockspread.document.DocumentView
+import burdockspread.document.Target
 import burdockspread.drain.DrainGate
 import burdockspread.drain.DrainPhase
+import burdockspread.fleet.FleetReporter
+import burdockspread.fleet.FleetSite
+import burdockspread.fleet.FleetWatch
+import burdockspread.fleet.RecentRefusals
 import burdockspread.generation.OpenGenerations
 import burdockspread.generation.TokenTimes
+import burdockspread.health.DomainSummary
 import burdockspread.http.BodyReader
 import burdockspread.http.CallerRoutes
 import burdockspread.http.EntryServer
@@ -21,11 +27,16 @@
 import burdockspread.http.RequestParser
 import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
+import burdockspread.id.TargetId
 import burdockspread.intercept.AuthenticationInterceptor
 import burdockspread.intercept.Interceptor
 import burdockspread.intercept.LimitInterceptor
 import burdockspread.intercept.RealChain
 import burdockspread.intercept.RepeatInterceptor
+import burdockspread.load.LoadBoard
+import burdockspread.load.LoadPoller
+import burdockspread.load.LoadSite
+import burdockspread.load.TargetLoad
 import burdockspread.observe.ListenerGroup
 import burdockspread.observe.LoggingListener
 import burdockspread.observe.MetricsListener
@@ -35,6 +46,7 @@
 import burdockspread.request.RequestContext
 import burdockspread.request.RequestResult
 import burdockspread.request.ServiceRequest
+import burdockspread.route.LoadReport
 import burdockspread.settings.ExitCode
 import burdockspread.settings.MonotonicTime
 import burdockspread.settings.toKotlin
@@ -44,6 +56,7 @@
 import burdockspread.stream.SessionPlanner
 import burdockspread.stream.SessionServices
 import burdockspread.target.engine.HttpEngineClient
+import burdockspread.target.engine.HttpEngineLoadClient
 import burdockspread.target.service.HttpServiceClient
 import burdockspread.wire.settings.EntrySettings
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -71,7 +84,8 @@
     private val time = MonotonicTime()
     private val random = Random(time.now().toEpochMilliseconds() xor host.hashCode().toLong())
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val listener = ListenerGroup(MetricsListener(metrics), LoggingListener())
+    private val refusals = RecentRefusals()
+    private val listener = ListenerGroup(MetricsListener(metrics), LoggingListener(), refusals)
     private val store =
         HttpObjectStore(
             settings.store.address,
@@ -94,8 +108,9 @@
             settings.journal.maxCopiesMib.toLong() * BYTES_PER_MIB,
         )
     private val planner = SessionPlanner(host, random)
+    private val events: PeerEvents = OnPeerEvent()
     private val peers: EntryPeers =
-        EntryPeers(settings, scope, document, open, planner, time, OnPeerEvent())
+        EntryPeers(settings, scope, document, open, planner, time, events)
     private val sessions =
         SessionServices(
             scope,
@@ -123,7 +138,13 @@
             Interceptor(::dispatch),
         )
     private val stopped = CompletableDeferred<ExitCode>()
-    private val state = EntryState(settings, document, router, open, gate, ::drain)
+    private val loads = LoadBoard()
+    private val loadClient = HttpEngineLoadClient(CONNECT_TIMEOUT)
+    private val health = Health()
+    private val fleet = FleetWatch(domain, health, router, loads, refusals, time)
+    private val reporter =
+        FleetReporter(host.value, domain.value, fleet, refusals, document, time)
+    private val state = EntryState(settings, document, router, open, gate, reporter, ::drain)
     private val server = server()
 
     /** Opens the ports and starts to follow the document. */
@@ -133,6 +154,8 @@
         scope.launch { RelayDuty(host, store, document, peers).run() }
         scope.launch { ledger.pump() }
         scope.launch { advanceQueues() }
+        scope.launch { LoadPoller(host, health, loadClient, peers, time).run() }
+        scope.launch { fleet.run() }
         log.info("serving callers on {}", settings.callerAddress)
     }
 
@@ -176,6 +199,7 @@
         peers.stop()
         engines.close()
         serviceClient.close()
+        loadClient.close()
         store.close()
         scope.cancel()
     }
@@ -203,6 +227,39 @@
         override fun targetsChanged(): Unit = router.rebuild(document.view())
 
         override fun drainRequested(): Unit = drain()
+
+        override fun loadArrived(
+            target: TargetId,
+            load: TargetLoad,
+        ) {
+            loads.put(target, load)
+            val queued = persistentListOf(load.waiting)
+            router.chooser.onReport(LoadReport(target, load.at, load.running, queued))
+        }
+
+        override fun summaryArrived(summary: DomainSummary): Unit = fleet.onSummary(summary)
+    }
+
+    private inner class Health : LoadSite, FleetSite {
+        override fun targets(): List<Target> =
+            document().failureDomain(domain)?.targets.orEmpty().filter { it.service == null }
+
+        override fun hosts(): List<HostId> = peers.domainHosts()
+
+        override fun publish(
+            target: TargetId,
+            load: TargetLoad,
+        ) {
+            events.loadArrived(target, load)
+            peers.publish(target, load)
+        }
+
+        override fun document(): DocumentView = this@EntryProcess.document.view()
+
+        override fun takesWork(target: Target): Boolean =
+            !target.leaving && peers.takesNewWork(target.id)
+
+        override fun publish(summary: DomainSummary): Unit = peers.publish(summary)
     }
 
     /** Streams at a target that begins to leave finish, or move once the drain deadline is over. */
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryState.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryState.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.document.DocumentHolder
 import burdockspread.drain.DrainGate
+import burdockspread.fleet.FleetReporter
 import burdockspread.generation.OpenGenerations
 import burdockspread.http.OperatorView
 import burdockspread.pool.TargetRouter
@@ -31,6 +32,7 @@
     private val router: TargetRouter,
     private val open: OpenGenerations<GenerationSession>,
     private val gate: DrainGate,
+    private val reporter: FleetReporter,
     private val onDrain: () -> Unit,
 ) : OperatorView {
     override val ready: Boolean get() = !document.view().isEmpty
@@ -52,7 +54,7 @@
         return json.encodeToString(dump)
     }
 
-    override fun fleet(): String = "{}"
+    override fun fleet(): String = reporter.json()
 
     override fun drain(): Unit = onDrain()
 
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/fleet/FleetWatch.kt
@@ -0,0 +1,140 @@
+/** Watches the health of the fleet from this host. */
+package burdockspread.fleet
+
+import burdockspread.document.DocumentView
+import burdockspread.document.Model
+import burdockspread.document.Target
+import burdockspread.health.CutTarget
+import burdockspread.health.DecayDetector
+import burdockspread.health.DecayEffect
+import burdockspread.health.DecayOptions
+import burdockspread.health.DomainSummary
+import burdockspread.health.FleetHealth
+import burdockspread.health.FleetView
+import burdockspread.health.ModelSummary
+import burdockspread.id.FailureDomainId
+import burdockspread.id.ModelId
+import burdockspread.id.TargetId
+import burdockspread.load.LoadBoard
+import burdockspread.pool.TargetRouter
+import burdockspread.time.TimeSource
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** What a [FleetWatch] needs to know and where it passes its summary on. */
+internal interface FleetSite {
+    /** The document in force. */
+    fun document(): DocumentView
+
+    /** Whether [target] takes new work. */
+    fun takesWork(target: Target): Boolean
+
+    /** Passes the summary of the own failure domain on to the others. */
+    fun publish(summary: DomainSummary)
+}
+
+/**
+ * Looks for quiet decay among the targets that this host uses, and summarises the head-room of its
+ * failure domain.
+ */
+internal class FleetWatch(
+    private val domain: FailureDomainId,
+    private val site: FleetSite,
+    private val router: TargetRouter,
+    private val loads: LoadBoard,
+    private val refusals: RecentRefusals,
+    private val time: TimeSource,
+) {
+    private val health = FleetHealth()
+    private val detectors = ConcurrentHashMap<ModelId, DecayDetector>()
+    private val cuts = ConcurrentHashMap<ModelId, List<CutTarget>>()
+
+    /** Targets with less than their full weight, as this host sees them. */
+    val cutTargets: List<CutTarget> get() = cuts.values.flatten()
+
+    /** The fleet as far as its summaries have reached this host. */
+    fun view(): FleetView = health.view(time.now())
+
+    /** Takes the summary of another failure domain. */
+    fun onSummary(summary: DomainSummary): Unit = health.onSummary(summary)
+
+    /** Watches until cancelled. */
+    suspend fun run() {
+        var rounds = 0
+        while (true) {
+            delay(INTERVAL)
+            val now = time.now()
+            judge(now)
+            val summary = summary(now)
+            health.onSummary(summary)
+            site.publish(summary)
+            if (++rounds % ROUNDS_PER_MINUTE == 0) refusals.rotate()
+        }
+    }
+
+    /** Moves the weights of targets that are worse than their pool. */
+    private fun judge(now: Instant) {
+        val document = site.document()
+        val samples = router.takeSamples().associateBy { it.target }
+        document.models.forEach { model ->
+            val targets = document.targetsOf(model.id).map { it.id }
+            val detector = detectors.computeIfAbsent(model.id) { DecayDetector(OPTIONS) }
+            detector.retain(targets.toSet())
+            val effects = detector.onSamples(targets.mapNotNull { samples[it] }, now)
+            effects.forEach(::apply)
+            cuts[model.id] = detector.cut()
+        }
+    }
+
+    private fun apply(effect: DecayEffect) {
+        when (effect) {
+            is DecayEffect.SetWeight -> router.chooser.setWeight(effect.target, effect.weight)
+            is DecayEffect.Found -> log.warn("target {} decays: {}", effect.target, effect.reason)
+            is DecayEffect.Recovered -> log.info("target {} recovered", effect.target)
+        }
+    }
+
+    private fun summary(now: Instant): DomainSummary {
+        val document = site.document()
+        val models = document.models.map { summary(it, document, now) }
+        return DomainSummary(domain, now, models.filter { it.targets > 0 || it.floorTargets > 0 }
+            .toImmutableList())
+    }
+
+    private fun summary(
+        model: Model,
+        document: DocumentView,
+        now: Instant,
+    ): ModelSummary {
+        val own = document.targetsOf(model.id).filter { it.failureDomain == domain }
+        val live = own.filter(site::takesWork)
+        val weights = cutTargets.associate { it.target to it.weight }
+        return ModelSummary(
+            model.id,
+            live.size,
+            if (own.isEmpty()) 0 else model.floorTargets,
+            live.sumOf { it.batchSlots * (weights[it.id] ?: 1.0) },
+            live.sumOf { used(it.id, now) }.toDouble(),
+        )
+    }
+
+    private fun used(
+        target: TargetId,
+        now: Instant,
+    ): Int {
+        val load = loads.get(target, now - MAX_LOAD_AGE) ?: return router.inFlight(target)
+        return load.running + load.waiting
+    }
+
+    private companion object {
+        const val ROUNDS_PER_MINUTE = 6
+        val INTERVAL = 10.seconds
+        val MAX_LOAD_AGE = 10.seconds
+        val OPTIONS = DecayOptions(interval = INTERVAL)
+        val log = LogManager.getLogger(FleetWatch::class.java)
+    }
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/fleet/RecentRefusals.kt
@@ -0,0 +1,36 @@
+/** Counts refusals of the last minute. */
+package burdockspread.fleet
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.id.OrganisationId
+import burdockspread.id.RequestId
+import burdockspread.observe.EntryListener
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
+import java.util.concurrent.atomic.LongAdder
+
+/** Refusals by code in the last whole minute that [rotate] closed. */
+internal class RecentRefusals : EntryListener {
+    private val current = AtomicReference(ConcurrentHashMap<ErrorCode, LongAdder>())
+
+    @Volatile
+    private var last: Map<ErrorCode, Long> = emptyMap()
+
+    override fun refused(
+        request: RequestId,
+        organisation: OrganisationId?,
+        refusal: Refusal,
+    ) {
+        current.get().computeIfAbsent(refusal.code) { LongAdder() }.increment()
+    }
+
+    /** Ends a minute and begins the next. */
+    fun rotate() {
+        val ended = current.getAndSet(ConcurrentHashMap())
+        last = ended.mapValues { it.value.sum() }
+    }
+
+    /** Refusals by code in the last whole minute. */
+    fun perMinute(): Map<ErrorCode, Long> = last
+}
--- /dev/null
+++ b/burdock-entry/src/main/kotlin/burdockspread/load/LoadPoller.kt
@@ -0,0 +1,82 @@
+/** Reads the load of the targets that fall to this host. */
+package burdockspread.load
+
+import burdockspread.document.Target
+import burdockspread.id.HostId
+import burdockspread.id.TargetId
+import burdockspread.pool.TargetObserver
+import burdockspread.target.engine.EngineLoad
+import burdockspread.target.engine.EngineLoadClient
+import burdockspread.target.engine.LoadAnswer
+import burdockspread.time.TimeSource
+import com.google.common.hash.Hashing
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.seconds
+
+/** Where a poller finds its targets and leaves what it reads. */
+internal interface LoadSite {
+    /** Engines of this host's failure domain. */
+    fun targets(): List<Target>
+
+    /** Live hosts of this host's failure domain, this one included. */
+    fun hosts(): List<HostId>
+
+    /** Takes the load of [target] and passes it on. */
+    fun publish(
+        target: TargetId,
+        load: TargetLoad,
+    )
+}
+
+/** Polls each target of the failure domain from one host, chosen by rendezvous hashing. */
+internal class LoadPoller(
+    private val self: HostId,
+    private val site: LoadSite,
+    private val client: EngineLoadClient,
+    private val observer: TargetObserver,
+    private val time: TimeSource,
+) {
+    /** Polls once a second until cancelled. */
+    suspend fun run() {
+        while (true) {
+            coroutineScope {
+                val hosts = site.hosts()
+                site.targets().filter { isMine(it.id, hosts) }.forEach { launch { poll(it) } }
+            }
+            delay(PERIOD)
+        }
+    }
+
+    private suspend fun poll(target: Target) {
+        when (val answer = client.load(target.address)) {
+            is LoadAnswer.Load -> report(target.id, answer.load)
+            is LoadAnswer.Refused -> observer.refused(target.id)
+            is LoadAnswer.Silent -> Unit
+        }
+    }
+
+    private fun report(
+        target: TargetId,
+        load: EngineLoad,
+    ) {
+        observer.answered(target)
+        site.publish(target, TargetLoad(load.running, load.waiting, time.now()))
+    }
+
+    private fun isMine(
+        target: TargetId,
+        hosts: List<HostId>,
+    ): Boolean = hosts.maxByOrNull { weight(target, it) } == self
+
+    private fun weight(
+        target: TargetId,
+        host: HostId,
+    ): Long = HASH.hashUnencodedChars("$target/$host").asLong()
+
+    private companion object {
+        val PERIOD = 1.seconds
+        val HASH = Hashing.murmur3_128()
+    }
+}
--- a/burdock-entry/src/main/kotlin/burdockspread/pool/TargetRouter.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/pool/TargetRouter.kt
@@ -11,6 +11,7 @@
 import burdockspread.document.DocumentView
 import burdockspread.document.Target
 import burdockspread.error.Refusal
+import burdockspread.health.TargetSample
 import burdockspread.id.FailureDomainId
 import burdockspread.id.ModelId
 import burdockspread.id.ServiceId
@@ -155,6 +156,9 @@
     /** Own requests in flight at [target]. */
     public fun inFlight(target: TargetId): Int = registry.inFlight(target)
 
+    /** What was seen of each target since the last call. */
+    public fun takeSamples(): List<TargetSample> = registry.takeSamples()
+
     /** Sizes of the pools, for the state dump. */
     public fun sizes(): Map<String, Int> =
         pools.get().byKey.entries.associate { (key, pool) -> nameOf(key) to pool.size }
--- /dev/null
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
@@ -0,0 +1,93 @@
+/** Reads the load that engines report. */
+package burdockspread.target.engine
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import kotlinx.coroutines.CancellationException
+import java.io.Closeable
+import java.net.ConnectException
+import kotlin.time.Duration
+
+/**
+ * Load of an engine.
+ *
+ * @property running generations in its batch.
+ * @property waiting requests in its queue.
+ */
+public data class EngineLoad(
+    public val running: Int,
+    public val waiting: Int,
+)
+
+/** Answer to the question for an engine's load. */
+public sealed interface LoadAnswer {
+    /** The engine told its load. */
+    public data class Load(public val load: EngineLoad) : LoadAnswer
+
+    /** The engine refused the connection. */
+    public data object Refused : LoadAnswer
+
+    /** The engine gave no answer that can be read. */
+    public data object Silent : LoadAnswer
+}
+
+/** Asks engines for their load. */
+public fun interface EngineLoadClient {
+    /** The load of the engine at [address], an IP:port. */
+    public suspend fun load(address: String): LoadAnswer
+}
+
+/** Reads the gauges that engines publish under `/metrics` in the Prometheus text format. */
+public class HttpEngineLoadClient(
+    timeout: Duration,
+) : EngineLoadClient, Closeable {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            install(HttpTimeout) {
+                connectTimeoutMillis = timeout.inWholeMilliseconds
+                requestTimeoutMillis = timeout.inWholeMilliseconds
+            }
+        }
+
+    override suspend fun load(address: String): LoadAnswer =
+        try {
+            parse(client.get("http://$address/metrics").bodyAsText())
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: ConnectException) {
+            LoadAnswer.Refused
+        } catch (e: Exception) {
+            LoadAnswer.Silent
+        }
+
+    override fun close() {
+        client.close()
+    }
+
+    private fun parse(text: String): LoadAnswer {
+        val running = gauge(text, RUNNING) ?: return LoadAnswer.Silent
+        val waiting = gauge(text, WAITING) ?: return LoadAnswer.Silent
+        return LoadAnswer.Load(EngineLoad(running, waiting))
+    }
+
+    /** Sum of a gauge over its labels, or null when the text does not have it. */
+    private fun gauge(
+        text: String,
+        name: String,
+    ): Int? {
+        val values = text.lineSequence()
+            .filter { it.startsWith("$name ") || it.startsWith("$name{") }
+            .mapNotNull { it.substringAfterLast(' ').toDoubleOrNull() }
+            .toList()
+        return if (values.isEmpty()) null else values.sum().toInt()
+    }
+
+    private companion object {
+        const val RUNNING = "vllm:num_requests_running"
+        const val WAITING = "vllm:num_requests_waiting"
+    }
+}
