--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Fleet.kt
@@ -45,7 +45,7 @@
 
     /** Starts the process of one engine. */
     public fun startEngine(engine: EngineLayout) {
-        val options = listOf("--token-millis", "$tokenMillis", "--slots", "8")
+        val options = listOf("--token-millis", "$tokenMillis", "--slots", "${layout.batchSlots}")
         start(engine.name, standIn("engine", engine.address) + options)
     }
 
@@ -85,6 +85,9 @@
         check(ProcessBuilder("kill", "-$name", "$pid").start().waitFor() == 0)
     }
 
+    /** Process id of the process [name]. */
+    public fun pid(name: String): Long = processes.getValue(name).pid()
+
     /** Kills the process [name] at once, as SIGKILL does, and waits until it is gone. */
     public fun kill(name: String) {
         val process = processes.getValue(name)
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetDocument.kt
@@ -84,7 +84,7 @@
         val engines = layout.engines.filter { it.failureDomain == name }.map {
             """
             {"name": "${it.name}", "address": "${it.address}", "models": ["burdock-llm"],
-             "checksFencing": true, "batchSlots": 8, "leaving": ${it.name in leaving}}
+             "checksFencing": true, "batchSlots": ${layout.batchSlots}, "leaving": ${it.name in leaving}}
             """.trimIndent()
         }
         val desk =
@@ -170,7 +170,7 @@
         val hash = Hashing.sha256().hashString(key, Charsets.UTF_8)
         return """
             {"name": "$name", "apiKeySha256": ["$hash"], "defaultPriority": "$priority",
-             "limits": {"requestsPerSecond": 200, "tokensPerSecond": 50000, "concurrent": 200,
+             "limits": {"requestsPerSecond": 5000, "tokensPerSecond": 5000000, "concurrent": 5000,
                         "cutOffFloor": 0.2}}
         """.trimIndent()
     }
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/FleetLayout.kt
@@ -33,6 +33,7 @@
     public val desk: String = Ports.freeAddress(),
     public val entries: ImmutableList<EntryLayout>,
     public val engines: ImmutableList<EngineLayout>,
+    public val batchSlots: Int = 8,
 ) {
     /** Names of the failure domains. */
     public val domains: ImmutableList<String>
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -108,7 +108,7 @@
         )
 
     /** Sends own copies to other hosts. */
-    val copySender: CopySender = PeerCopySender(directory, client, journal.copies)
+    val copySender: CopySender = PeerCopySender(scope, directory, client, journal.copies)
 
     /** When own generations are copied. */
     val copyPolicy: CopyPolicy =
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
@@ -37,12 +37,15 @@
     private val channels: PeerChannels,
     private val timeout: Duration,
 ) {
-    /** Sends a batch to [host]. */
-    suspend fun append(host: HostId, batch: JournalBatch): AppendOutcome? = ask(host) { stub ->
-        stub.append(appendRequest { batches += batch.toMessage() })
-            .getResults(0)
-            .toAppendOutcome()
-    }
+    /** Sends [batches] to [host]; the outcomes stand in their order. */
+    suspend fun append(
+        host: HostId,
+        batches: List<JournalBatch>,
+    ): List<AppendOutcome>? =
+        ask(host) { stub ->
+            val request = appendRequest { this.batches += batches.map { it.toMessage() } }
+            stub.append(request).resultsList.map { it.toAppendOutcome() }
+        }
 
     /** What [host] knows of [key]. */
     suspend fun find(host: HostId, key: RequestKey): List<Sighting> = ask(host) { stub ->
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
@@ -7,16 +7,70 @@
 import burdockspread.journal.RequestKey
 import burdockspread.stream.CopySender
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Chooses [copies] holders by the directory and reaches them by [client]. */
+/**
+ * Chooses [copies] holders by the directory and reaches them by [client].
+ *
+ * Batches of many generations to one holder share a call: those that come within [LINGER], or while
+ * the call before is under way.
+ */
 internal class PeerCopySender(
+    private val scope: CoroutineScope,
     private val directory: PeerDirectory,
     private val client: JournalClient,
     private val copies: Int,
 ) : CopySender {
+    private class Pending(
+        val batch: JournalBatch,
+        val outcome: CompletableDeferred<AppendOutcome?> = CompletableDeferred(),
+    )
+
+    private val queues = ConcurrentHashMap<HostId, Channel<Pending>>()
+
     override fun holders(request: RequestKey): ImmutableList<HostId> =
         directory.holders(request, copies)
 
-    override suspend fun send(holder: HostId, batch: JournalBatch): AppendOutcome? =
-        client.append(holder, batch)
+    override suspend fun send(
+        holder: HostId,
+        batch: JournalBatch,
+    ): AppendOutcome? {
+        val pending = Pending(batch)
+        queues.computeIfAbsent(holder, ::startQueue).send(pending)
+        return pending.outcome.await()
+    }
+
+    private fun startQueue(holder: HostId): Channel<Pending> {
+        val queue = Channel<Pending>(QUEUE_CAPACITY)
+        scope.launch {
+            for (first in queue) {
+                delay(LINGER)
+                deliver(holder, listOf(first) + drain(queue))
+            }
+        }
+        return queue
+    }
+
+    private fun drain(queue: Channel<Pending>): List<Pending> =
+        generateSequence { queue.tryReceive().getOrNull() }.take(MAX_BATCHES).toList()
+
+    private suspend fun deliver(
+        holder: HostId,
+        pending: List<Pending>,
+    ) {
+        val outcomes = client.append(holder, pending.map { it.batch })
+        pending.forEachIndexed { i, each -> each.outcome.complete(outcomes?.getOrNull(i)) }
+    }
+
+    private companion object {
+        const val QUEUE_CAPACITY = 256
+        const val MAX_BATCHES = 255
+        val LINGER = 5.milliseconds
+    }
 }
