Lose no input of a session at the instant of a timeout

Ruled out: the engine client (200 streams at once lose no chunk: test added), the core's offsets. Found: withTimeoutOrNull around a channel's receive drops an element taken at the instant of the timeout. Change: the timeout is a clause of the same select.

--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Measure.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Measure.kt
@@ -26,9 +26,7 @@
     exitProcess(0)
 }
 
-private class Measurement(
-    private val fleet: Fleet,
-) {
+private class Measurement(private val fleet: Fleet) {
     private val entry = fleet.layout.entries.first()
 
     fun run() {
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -64,10 +64,7 @@
     fun drainRequested()
 
     /** Another host of the failure domain read the load of [target]. */
-    fun loadArrived(
-        target: TargetId,
-        load: TargetLoad,
-    )
+    fun loadArrived(target: TargetId, load: TargetLoad)
 
     /** Another failure domain tells its head-room. */
     fun summaryArrived(summary: DomainSummary)
@@ -176,10 +173,7 @@
         (presence.hosts.usable().filter { it.domain == domain }.map { it.host } + host).distinct()
 
     /** Passes the load of [target] on in the failure domain. */
-    fun publish(
-        target: TargetId,
-        load: TargetLoad,
-    ): Unit = spread.put(load.toEntry(target))
+    fun publish(target: TargetId, load: TargetLoad): Unit = spread.put(load.toEntry(target))
 
     /** Passes the summary of the own failure domain on, if this host speaks for it. */
     fun publish(summary: DomainSummary) {
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -228,10 +228,7 @@
 
         override fun drainRequested(): Unit = drain()
 
-        override fun loadArrived(
-            target: TargetId,
-            load: TargetLoad,
-        ) {
+        override fun loadArrived(target: TargetId, load: TargetLoad) {
             loads.put(target, load)
             val queued = persistentListOf(load.waiting)
             router.chooser.onReport(LoadReport(target, load.at, load.running, queued))
@@ -240,16 +237,15 @@
         override fun summaryArrived(summary: DomainSummary): Unit = fleet.onSummary(summary)
     }
 
-    private inner class Health : LoadSite, FleetSite {
+    private inner class Health :
+        LoadSite,
+        FleetSite {
         override fun targets(): List<Target> =
             document().failureDomain(domain)?.targets.orEmpty().filter { it.service == null }
 
         override fun hosts(): List<HostId> = peers.domainHosts()
 
-        override fun publish(
-            target: TargetId,
-            load: TargetLoad,
-        ) {
+        override fun publish(target: TargetId, load: TargetLoad) {
             events.loadArrived(target, load)
             peers.publish(target, load)
         }
--- a/burdock-entry/src/main/kotlin/burdockspread/fleet/FleetReporter.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/fleet/FleetReporter.kt
@@ -38,7 +38,8 @@
             probation += watch.cutTargets.map {
                 targetReport {
                     target = it.target.value
-                    failureDomain = document.view().target(it.target)?.failureDomain?.value.orEmpty()
+                    failureDomain =
+                        document.view().target(it.target)?.failureDomain?.value.orEmpty()
                     weight = it.weight
                     reason = it.reason.name
                 }
@@ -61,19 +62,18 @@
         }
     }
 
-    private fun pool(row: CapacityRow): PoolReport =
-        poolReport {
-            name = row.model
-            failureDomain = row.domain
-            liveTargets = row.targets
-            floorTargets = row.floorTargets
-            headRoom = row.headRoom
-            trendPerHour = row.trendPerHour
-            row.hoursToFloor?.let {
-                val seconds = (it * SECONDS_PER_HOUR).toLong()
-                timeToFloor = Duration.newBuilder().setSeconds(seconds).build()
-            }
+    private fun pool(row: CapacityRow): PoolReport = poolReport {
+        name = row.model
+        failureDomain = row.domain
+        liveTargets = row.targets
+        floorTargets = row.floorTargets
+        headRoom = row.headRoom
+        trendPerHour = row.trendPerHour
+        row.hoursToFloor?.let {
+            val seconds = (it * SECONDS_PER_HOUR).toLong()
+            timeToFloor = Duration.newBuilder().setSeconds(seconds).build()
         }
+    }
 
     private companion object {
         const val SECONDS_PER_HOUR = 3_600
--- a/burdock-entry/src/main/kotlin/burdockspread/fleet/FleetWatch.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/fleet/FleetWatch.kt
@@ -101,15 +101,15 @@
     private fun summary(now: Instant): DomainSummary {
         val document = site.document()
         val models = document.models.map { summary(it, document, now) }
-        return DomainSummary(domain, now, models.filter { it.targets > 0 || it.floorTargets > 0 }
-            .toImmutableList())
+        return DomainSummary(
+            domain,
+            now,
+            models.filter { it.targets > 0 || it.floorTargets > 0 }
+                .toImmutableList(),
+        )
     }
 
-    private fun summary(
-        model: Model,
-        document: DocumentView,
-        now: Instant,
-    ): ModelSummary {
+    private fun summary(model: Model, document: DocumentView, now: Instant): ModelSummary {
         val own = document.targetsOf(model.id).filter { it.failureDomain == domain }
         val live = own.filter(site::takesWork)
         val weights = cutTargets.associate { it.target to it.weight }
@@ -122,10 +122,7 @@
         )
     }
 
-    private fun used(
-        target: TargetId,
-        now: Instant,
-    ): Int {
+    private fun used(target: TargetId, now: Instant): Int {
         val load = loads.get(target, now - MAX_LOAD_AGE) ?: return router.inFlight(target)
         return load.running + load.waiting
     }
--- a/burdock-entry/src/main/kotlin/burdockspread/load/LoadPoller.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/load/LoadPoller.kt
@@ -24,10 +24,7 @@
     fun hosts(): List<HostId>
 
     /** Takes the load of [target] and passes it on. */
-    fun publish(
-        target: TargetId,
-        load: TargetLoad,
-    )
+    fun publish(target: TargetId, load: TargetLoad)
 }
 
 /** Polls each target of the failure domain from one host, chosen by rendezvous hashing. */
@@ -57,23 +54,16 @@
         }
     }
 
-    private fun report(
-        target: TargetId,
-        load: EngineLoad,
-    ) {
+    private fun report(target: TargetId, load: EngineLoad) {
         observer.answered(target)
         site.publish(target, TargetLoad(load.running, load.waiting, time.now()))
     }
 
-    private fun isMine(
-        target: TargetId,
-        hosts: List<HostId>,
-    ): Boolean = hosts.maxByOrNull { weight(target, it) } == self
+    private fun isMine(target: TargetId, hosts: List<HostId>): Boolean =
+        hosts.maxByOrNull { weight(target, it) } == self
 
-    private fun weight(
-        target: TargetId,
-        host: HostId,
-    ): Long = HASH.hashUnencodedChars("$target/$host").asLong()
+    private fun weight(target: TargetId, host: HostId): Long =
+        HASH.hashUnencodedChars("$target/$host").asLong()
 
     private companion object {
         val PERIOD = 1.seconds
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/JournalClient.kt
@@ -38,10 +38,7 @@
     private val timeout: Duration,
 ) {
     /** Sends [batches] to [host]; the outcomes stand in their order. */
-    suspend fun append(
-        host: HostId,
-        batches: List<JournalBatch>,
-    ): List<AppendOutcome>? =
+    suspend fun append(host: HostId, batches: List<JournalBatch>): List<AppendOutcome>? =
         ask(host) { stub ->
             val request = appendRequest { this.batches += batches.map { it.toMessage() } }
             stub.append(request).resultsList.map { it.toAppendOutcome() }
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerCopySender.kt
@@ -37,10 +37,7 @@
     override fun holders(request: RequestKey): ImmutableList<HostId> =
         directory.holders(request, copies)
 
-    override suspend fun send(
-        holder: HostId,
-        batch: JournalBatch,
-    ): AppendOutcome? {
+    override suspend fun send(holder: HostId, batch: JournalBatch): AppendOutcome? {
         val pending = Pending(batch)
         queues.computeIfAbsent(holder, ::startQueue).send(pending)
         return pending.outcome.await()
@@ -60,10 +57,7 @@
     private fun drain(queue: Channel<Pending>): List<Pending> =
         generateSequence { queue.tryReceive().getOrNull() }.take(MAX_BATCHES).toList()
 
-    private suspend fun deliver(
-        holder: HostId,
-        pending: List<Pending>,
-    ) {
+    private suspend fun deliver(holder: HostId, pending: List<Pending>) {
         val outcomes = client.append(holder, pending.map { it.batch })
         pending.forEachIndexed { i, each -> each.outcome.complete(outcomes?.getOrNull(i)) }
     }
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
@@ -17,7 +17,6 @@
 import burdockspread.target.engine.EngineFailure
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
 
@@ -26,7 +25,7 @@
     private val services: SessionServices,
     private val request: SessionRequest,
     private val tag: GenerationTag,
-    private val inputs: SendChannel<SessionInput>,
+    private val inputs: InputQueue<SessionInput>,
 ) {
     private val jobs = ConcurrentHashMap<AttemptNumber, Job>()
 
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationSession.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/GenerationSession.kt
@@ -15,7 +15,6 @@
 import burdockspread.journal.JournalInput
 import burdockspread.observe.GenerationTag
 import burdockspread.pool.poolOf
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -23,9 +22,7 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.flow.updateAndGet
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -57,7 +54,7 @@
             tokens,
             SessionListener(services.listener, tag),
         )
-    private val inputs = Channel<SessionInput>(INPUT_CAPACITY)
+    private val inputs = InputQueue<SessionInput>(INPUT_CAPACITY)
     private val attempts = AttemptRunner(services, request, tag, inputs)
     private val journal = JournalDriver(services, request, generation.tokens, inputs, this)
     private val watch = ResumeWatch(services.listener, tag, request.receivedAt)
@@ -82,7 +79,7 @@
         services.scope.launch {
             handle(SessionInput.ForGeneration(GenerationInput.Start))
             while (progress.value.end == null) handle(nextInput())
-            inputs.cancel()
+            inputs.close()
             attempts.cancelAll()
             onEnd(this@GenerationSession)
         }
@@ -138,9 +135,7 @@
 
     private suspend fun nextInput(): SessionInput {
         val deadline = listOfNotNull(generation.nextDeadline(), journal.nextDeadline()).minOrNull()
-        val wait = deadline?.let { it - services.time.now() } ?: return inputs.receive()
-        if (wait <= Duration.ZERO) return inputs.tryReceive().getOrNull() ?: SessionInput.Tick
-        return withTimeoutOrNull(wait) { inputs.receive() } ?: SessionInput.Tick
+        return inputs.next(deadline?.let { it - services.time.now() }) ?: SessionInput.Tick
     }
 
     private fun perform(effects: List<GenerationEffect>, now: Instant) {
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/JournalDriver.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/JournalDriver.kt
@@ -9,7 +9,6 @@
 import burdockspread.journal.JournalEffect
 import burdockspread.journal.JournalInput
 import burdockspread.journal.OwnerJournal
-import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.launch
 import kotlin.time.Instant
 
@@ -27,7 +26,7 @@
     private val services: SessionServices,
     private val request: SessionRequest,
     private val log: TokenLog,
-    private val inputs: SendChannel<SessionInput>,
+    private val inputs: InputQueue<SessionInput>,
     private val output: JournalOutput,
 ) {
     private val policy = services.copyPolicy
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
@@ -17,10 +17,7 @@
  * @property running generations in its batch.
  * @property waiting requests in its queue.
  */
-public data class EngineLoad(
-    public val running: Int,
-    public val waiting: Int,
-)
+public data class EngineLoad(public val running: Int, public val waiting: Int)
 
 /** Answer to the question for an engine's load. */
 public sealed interface LoadAnswer {
@@ -41,9 +38,9 @@
 }
 
 /** Reads the gauges that engines publish under `/metrics` in the Prometheus text format. */
-public class HttpEngineLoadClient(
-    timeout: Duration,
-) : EngineLoadClient, Closeable {
+public class HttpEngineLoadClient(timeout: Duration) :
+    EngineLoadClient,
+    Closeable {
     private val client =
         HttpClient(CIO) {
             expectSuccess = false
@@ -53,16 +50,15 @@
             }
         }
 
-    override suspend fun load(address: String): LoadAnswer =
-        try {
-            parse(client.get("http://$address/metrics").bodyAsText())
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: ConnectException) {
-            LoadAnswer.Refused
-        } catch (e: Exception) {
-            LoadAnswer.Silent
-        }
+    override suspend fun load(address: String): LoadAnswer = try {
+        parse(client.get("http://$address/metrics").bodyAsText())
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        LoadAnswer.Refused
+    } catch (e: Exception) {
+        LoadAnswer.Silent
+    }
 
     override fun close() {
         client.close()
@@ -75,10 +71,7 @@
     }
 
     /** Sum of a gauge over its labels, or null when the text does not have it. */
-    private fun gauge(
-        text: String,
-        name: String,
-    ): Int? {
+    private fun gauge(text: String, name: String): Int? {
         val values = text.lineSequence()
             .filter { it.startsWith("$name ") || it.startsWith("$name{") }
             .mapNotNull { it.substringAfterLast(' ').toDoubleOrNull() }
--- a/burdock-targets/src/test/kotlin/burdockspread/target/engine/HttpEngineClientTest.kt
+++ b/burdock-targets/src/test/kotlin/burdockspread/target/engine/HttpEngineClientTest.kt
@@ -6,6 +6,9 @@
 import burdockspread.fakes.engine.TextModel
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -55,6 +58,19 @@
         assertEquals(EngineEvent.Finished("length", 20), events.last())
     }
 
+    @Test
+    fun `many streams at once lose no chunk`() {
+        val wide = ServerSocket(0).use { it.localPort }
+        val options = EngineOptions(slots = STREAMS, tokenInterval = 2.milliseconds)
+        val server = EngineServer(wide, options).also { it.start() }
+        val call = call().copy(address = "127.0.0.1:$wide")
+        val offsets = runBlocking(Dispatchers.Default) {
+            List(STREAMS) { async { client.generate(call).toList() } }.awaitAll()
+        }.map { events -> events.filterIsInstance<EngineEvent.Tokens>().map { it.offset } }
+        server.stop()
+        assertEquals(List(STREAMS) { (0 until 20).toList() }, offsets)
+    }
+
     @Test
     fun `goes on after a prefix`() {
         assertEquals(reference.drop(7), tokens(events(call(7))))
@@ -116,6 +132,7 @@
     }
 
     private companion object {
+        const val STREAMS = 200
         const val BAD_TOKENS = """{"model":"m","prompt":"p","max_tokens":-1}"""
     }
 }
