--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -10,6 +10,7 @@
     private val caller = Caller()
     private val failures = mutableListOf<String>()
     private val first = fleet.layout.entries.first()
+    private val steward = StewardLayout("${first.name}-steward", first.failureDomain)
 
     fun run(): List<String> {
         startUp()
@@ -22,13 +23,22 @@
     }
 
     private fun startUp() {
-        step("start the stand-ins, ${fleet.layout.entries.size} entry hosts and the document")
+        step(
+            "start the stand-ins, the document, ${fleet.layout.entries.size} entry hosts and a steward",
+        )
         fleet.startStandIns()
         fleet.teams.createAll()
         fleet.layout.entries.forEach { fleet.startEntry(it) }
+        fleet.startSteward(steward)
         fleet.awaitReady()
+        val engine = fleet.layout.engines.first { it.failureDomain == steward.failureDomain }
+        fleet.await("model loaded by the steward") { state(engine).contains("burdock-llm") }
+        println("  ${engine.name} serves ${state(engine)}")
     }
 
+    private fun state(engine: EngineLayout): String =
+        fleet.get("http://${engine.address}/admin/state").body()
+
     /** Kills the engine that serves a stream in its middle. */
     private fun streamThroughEngineDeath() {
         step("stream a generation and kill its engine with SIGKILL in the middle")
@@ -129,11 +139,11 @@
     }
 
     private fun stop() {
-        step("stop the entry hosts by SIGTERM")
-        fleet.layout.entries.forEach {
-            val status = fleet.terminate(it.name)
-            println("  ${it.name}: exit status $status")
-            check("${it.name} ended with 0", status == 0)
+        step("stop the entry hosts and the steward by SIGTERM")
+        (fleet.layout.entries.map { it.name } + steward.name).forEach {
+            val status = fleet.terminate(it)
+            println("  $it: exit status $status")
+            check("$it ended with 0", status == 0)
         }
     }
 
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Measure.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Measure.kt
@@ -14,7 +14,9 @@
 private const val TICKS_PER_SECOND = 100.0
 private const val KIB_PER_MIB = 1_024
 private const val MILLION = 1_000_000
-private const val IDLE_MILLIS = 10_000L
+private const val IDLE_MILLIS = 20_000L
+private const val MILLIS_PER_SECOND = 1_000
+private const val MAX_MINUTES = 5L
 
 /** Prints the measurement of the project built in the folder that is the first argument. */
 public fun main(args: Array<String>) {
@@ -39,6 +41,7 @@
         println("resident after start: ${residentMib()} MiB")
         idle()
         repeat(ROUNDS) { load(it + 1) }
+        idle()
     }
 
     /** Processor time of an entry host without callers: spread, polls and shares. */
@@ -46,7 +49,12 @@
         val before = processorSeconds()
         Thread.sleep(IDLE_MILLIS)
         val used = processorSeconds() - before
-        println("idle: %.2f s of processor time in %d s".format(used, IDLE_MILLIS / 1_000))
+        println(
+            "idle: %.2f s of processor time in %d s".format(
+                used,
+                IDLE_MILLIS / MILLIS_PER_SECOND,
+            ),
+        )
     }
 
     private fun load(round: Int) {
@@ -58,8 +66,8 @@
             pool.submit { Caller().stream(entry.caller, Ask("prompt $i", TOKENS, "r$round-$i")) }
         }
         pool.shutdown()
-        pool.awaitTermination(5, TimeUnit.MINUTES)
-        val seconds = start.elapsedNow().inWholeMilliseconds / 1_000.0
+        pool.awaitTermination(MAX_MINUTES, TimeUnit.MINUTES)
+        val seconds = start.elapsedNow().inWholeMilliseconds.toDouble() / MILLIS_PER_SECOND
         val delivered = delivered()
         val used = processorSeconds() - before
         println(
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
@@ -1,9 +1,7 @@
 /** Reads the load that engines report. */
 package burdockspread.target.engine
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.plugins.HttpTimeout
+import burdockspread.target.targetClient
 import io.ktor.client.request.get
 import io.ktor.client.statement.bodyAsText
 import kotlinx.coroutines.CancellationException
@@ -41,14 +39,7 @@
 public class HttpEngineLoadClient(timeout: Duration) :
     EngineLoadClient,
     Closeable {
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            install(HttpTimeout) {
-                connectTimeoutMillis = timeout.inWholeMilliseconds
-                requestTimeoutMillis = timeout.inWholeMilliseconds
-            }
-        }
+    private val client = targetClient(timeout, timeout)
 
     override suspend fun load(address: String): LoadAnswer = try {
         parse(client.get("http://$address/metrics").bodyAsText())
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/HttpEngineClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/HttpEngineClient.kt
@@ -1,10 +1,8 @@
 /** Client of engines over their published completions API. */
 package burdockspread.target.engine
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
+import burdockspread.target.targetClient
 import io.ktor.client.network.sockets.ConnectTimeoutException
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.HttpTimeoutConfig
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.preparePost
@@ -30,19 +28,7 @@
 public class HttpEngineClient(private val connectTimeout: Duration) :
     EngineClient,
     Closeable {
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            install(HttpTimeout) {
-                connectTimeoutMillis = connectTimeout.inWholeMilliseconds
-                requestTimeoutMillis = HttpTimeoutConfig.INFINITE_TIMEOUT_MS
-            }
-            engine {
-                requestTimeout = 0
-                maxConnectionsCount = MAX_CONNECTIONS
-                endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS
-            }
-        }
+    private val client = targetClient(connectTimeout)
 
     override fun generate(call: EngineCall): Flow<EngineEvent> = flow {
         val failure =
@@ -102,7 +88,6 @@
 
     private companion object {
         const val DATA = "data:"
-        const val MAX_CONNECTIONS = 4_096
         const val MAX_DETAIL_CHARS = 200
     }
 }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -1,10 +1,8 @@
 /** Client of engines' orders over HTTP. */
 package burdockspread.target.order
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
+import burdockspread.target.targetClient
 import io.ktor.client.network.sockets.ConnectTimeoutException
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.get
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
@@ -28,14 +26,7 @@
     @Serializable
     private data class StateJson(val models: Map<String, String> = emptyMap())
 
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            install(HttpTimeout) {
-                connectTimeoutMillis = timeout.inWholeMilliseconds
-                requestTimeoutMillis = timeout.inWholeMilliseconds
-            }
-        }
+    private val client = targetClient(timeout, timeout)
 
     override suspend fun send(call: OrderCall): OrderAnswer = try {
         val response =
--- a/burdock-targets/src/main/kotlin/burdockspread/target/service/HttpServiceClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/service/HttpServiceClient.kt
@@ -1,10 +1,8 @@
 /** Client of plain services over HTTP. */
 package burdockspread.target.service
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
+import burdockspread.target.targetClient
 import io.ktor.client.network.sockets.ConnectTimeoutException
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.post
@@ -21,11 +19,7 @@
 public class HttpServiceClient(connectTimeout: Duration) :
     ServiceClient,
     Closeable {
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            install(HttpTimeout) { connectTimeoutMillis = connectTimeout.inWholeMilliseconds }
-        }
+    private val client = targetClient(connectTimeout)
 
     override suspend fun send(call: ServiceCall): ServiceResult = try {
         val response =
