--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Caller.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import java.io.UncheckedIOException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -67,7 +68,7 @@
                     onEvent(it)
                 }
             }
-        } catch (e: java.io.UncheckedIOException) {
+        } catch (e: UncheckedIOException) {
             return received // The connection broke; the caller keeps what it has.
         }
         return received
--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -23,9 +23,8 @@
     }
 
     private fun startUp() {
-        step(
-            "start the stand-ins, the document, ${fleet.layout.entries.size} entry hosts and a steward",
-        )
+        val hosts = fleet.layout.entries.size
+        step("start the stand-ins, the document, $hosts entry hosts and a steward")
         fleet.startStandIns()
         fleet.teams.createAll()
         fleet.layout.entries.forEach { fleet.startEntry(it) }
--- a/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
@@ -19,6 +19,7 @@
 import io.ktor.server.routing.RoutingResolveContext
 import io.ktor.server.routing.routing
 import org.apache.logging.log4j.LogManager
+import java.io.IOException
 import kotlin.time.Duration
 
 /** IP address and port that a server listens on. */
@@ -79,7 +80,7 @@
     }
 
     private suspend fun fault(call: ApplicationCall, cause: Throwable) {
-        if (cause is java.io.IOException) return
+        if (cause is IOException) return
         log.error("request failed", cause)
         val refusal = Refusal(ErrorCode.INTERNAL, "internal fault")
         callerRoutes.refuse(call, RequestId("unknown"), refusal)
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/LimitWire.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/LimitWire.kt
@@ -13,6 +13,8 @@
 import burdockspread.wire.limits.shareReport
 import burdockspread.wire.limits.shareReports
 import kotlinx.collections.immutable.toImmutableList
+import burdockspread.wire.limits.ShareGrant as ShareGrantMessage
+import burdockspread.wire.limits.ShareReport as ShareReportMessage
 
 internal fun ShareMessage.toMessage(from: HostId): ShareEnvelope {
     val message = this
@@ -60,7 +62,7 @@
     else -> null
 }
 
-private fun ShareReport.toMessage(): burdockspread.wire.limits.ShareReport {
+private fun ShareReport.toMessage(): ShareReportMessage {
     val report = this
     return shareReport {
         organisation = report.organisation.value
@@ -70,7 +72,7 @@
     }
 }
 
-private fun ShareGrant.toMessage(): burdockspread.wire.limits.ShareGrant {
+private fun ShareGrant.toMessage(): ShareGrantMessage {
     val grant = this
     return shareGrant {
         organisation = grant.organisation.value
--- a/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/stream/AttemptRunner.kt
@@ -6,6 +6,7 @@
 import burdockspread.generation.GenerationEffect
 import burdockspread.generation.GenerationInput
 import burdockspread.id.AttemptNumber
+import burdockspread.id.TargetId
 import burdockspread.observe.GenerationTag
 import burdockspread.pool.Route
 import burdockspread.pool.poolOf
@@ -104,11 +105,7 @@
         }
     }
 
-    private suspend fun failed(
-        attempt: AttemptNumber,
-        target: burdockspread.id.TargetId?,
-        cause: FailureCause,
-    ) {
+    private suspend fun failed(attempt: AttemptNumber, target: TargetId?, cause: FailureCause) {
         services.listener.attemptFailed(tag, attempt, target, cause.name)
         tell(GenerationInput.Failed(attempt, cause))
     }
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.fakes.store.FakeObjectStore
 import burdockspread.fakes.store.StoreFault
+import burdockspread.fakes.store.StoreFaults
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ReadResult
@@ -66,7 +67,7 @@
 
     private suspend fun RoutingContext.setFault() {
         val fault = StoreFault.valueOf(name().uppercase())
-        store.faults = burdockspread.fakes.store.StoreFaults { fault }
+        store.faults = StoreFaults { fault }
         if (fault == StoreFault.NONE) store.deliverLate()
         call.respondText(fault.name)
     }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/CompletionBody.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/CompletionBody.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.booleanOrNull
@@ -54,7 +55,7 @@
         if (call.prefix.isNotEmpty()) resume(call.prefix.joinToString(""))
     }
 
-    private fun kotlinx.serialization.json.JsonObjectBuilder.resume(prefix: String) {
+    private fun JsonObjectBuilder.resume(prefix: String) {
         when (api) {
             CompletionApi.COMPLETIONS -> put("prompt", promptText + prefix)
             CompletionApi.CHAT -> {
