--- a/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
+++ b/burdock-e2e/src/main/kotlin/burdockspread/demo/Demonstration.kt
@@ -156,7 +156,7 @@
     }
 
     private companion object {
-        const val TOKENS = 100
+        const val TOKENS = 300
         const val SHOWN = 10
         const val EDITED_MAX_TOKENS = 500
         const val BAD_REQUEST = 400
--- a/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
+++ b/burdock-e2e/src/test/kotlin/burdockspread/demo/FleetTest.kt
@@ -47,17 +47,17 @@
     fun `an answer goes on through another entry host after its own was killed`() {
         startAll()
         val (first, second) = layout.entries
-        val ask = Ask(prompt, 150, "killed-entry")
+        val ask = Ask(prompt, 250, "killed-entry")
         val before = caller.stream(first.caller, ask) {
             if (it.tokens >= 60) fleet.kill(first.name)
         }
         val held = text(before)
-        assertTrue(held.length < reference(150).length, "the entry host died in mid-stream")
+        assertTrue(held.length < reference(250).length, "the entry host died in mid-stream")
         val last = before.last { it.id != null }.id
         val after = caller.stream(second.caller, ask.copy(lastEvent = last))
         assertEquals("[DONE]", after.last().data)
         val restarted = after.any { it.event == "restart" }
-        assertEquals(reference(150), if (restarted) text(after) else held + text(after))
+        assertEquals(reference(250), if (restarted) text(after) else held + text(after))
     }
 
     @Test
@@ -94,13 +94,13 @@
         startAll()
         val entry = layout.entries.first()
         var frozen: EngineLayout? = null
-        val events = caller.stream(entry.caller, Ask(prompt, 100, "frozen")) {
+        val events = caller.stream(entry.caller, Ask(prompt, 250, "frozen")) {
             if (it.tokens >= 30 && frozen == null) {
                 frozen = servingEngine().also { engine -> fleet.signal(engine.name, "STOP") }
             }
         }
         frozen?.let { fleet.signal(it.name, "CONT") }
-        assertEquals(reference(100), text(events))
+        assertEquals(reference(250), text(events))
         assertContains(fleet.log(entry.name), "STALLED")
     }
 
