Split IP:port by the library's HostAndPort in all four servers and clients

Cause: reading the change again, the same split of an address stood in the HTTP server, the peer port, the peer channels and the steward's port, beside a class of our own for it. Change: HostAndPort.fromString, ListenAddress removed; behaviour as before, the settings still check addresses.

--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -22,7 +22,6 @@
 import burdockspread.http.BodyReader
 import burdockspread.http.CallerRoutes
 import burdockspread.http.EntryServer
-import burdockspread.http.ListenAddress
 import burdockspread.http.OperatorRoutes
 import burdockspread.http.RequestParser
 import burdockspread.id.FailureDomainId
@@ -59,6 +58,7 @@
 import burdockspread.target.engine.HttpEngineLoadClient
 import burdockspread.target.service.HttpServiceClient
 import burdockspread.wire.settings.EntrySettings
+import com.google.common.net.HostAndPort
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.collections.immutable.persistentListOf
@@ -284,8 +284,8 @@
                 ::serve,
             )
         return EntryServer(
-            ListenAddress.parse(settings.callerAddress),
-            ListenAddress.parse(settings.operatorAddress),
+            HostAndPort.fromString(settings.callerAddress),
+            HostAndPort.fromString(settings.operatorAddress),
             limits.idleTimeout.toKotlin(),
             callers,
             OperatorRoutes(state, gate, metrics),
--- a/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/EntryServer.kt
@@ -4,6 +4,7 @@
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.id.RequestId
+import com.google.common.net.HostAndPort
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.install
@@ -22,19 +23,10 @@
 import java.io.IOException
 import kotlin.time.Duration
 
-/** IP address and port that a server listens on. */
-internal data class ListenAddress(val host: String, val port: Int) {
-    companion object {
-        /** Reads `IP:port`, which the settings check has accepted. */
-        fun parse(text: String): ListenAddress =
-            ListenAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
-    }
-}
-
 /** Serves both ports with one engine, so that they share their threads. */
 internal class EntryServer(
-    private val caller: ListenAddress,
-    private val operator: ListenAddress,
+    private val caller: HostAndPort,
+    private val operator: HostAndPort,
     private val idleTimeout: Duration,
     private val callerRoutes: CallerRoutes,
     private val operatorRoutes: OperatorRoutes,
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerChannels.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerChannels.kt
@@ -1,6 +1,7 @@
 /** Connections to the other entry hosts. */
 package burdockspread.peer
 
+import com.google.common.net.HostAndPort
 import io.grpc.ManagedChannel
 import io.grpc.netty.NettyChannelBuilder
 import java.util.concurrent.ConcurrentHashMap
@@ -12,10 +13,9 @@
 
     /** The channel to [address], an IP:port. */
     fun to(address: String): ManagedChannel = channels.computeIfAbsent(address) {
-        val ip = it.substringBeforeLast(':')
-        val port = it.substringAfterLast(':').toInt()
+        val peer = HostAndPort.fromString(it)
         NettyChannelBuilder
-            .forAddress(ip, port)
+            .forAddress(peer.host, peer.port)
             .usePlaintext()
             .idleTimeout(IDLE_SECONDS, TimeUnit.SECONDS)
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
--- a/burdock-entry/src/main/kotlin/burdockspread/peer/PeerServer.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/peer/PeerServer.kt
@@ -1,6 +1,7 @@
 /** The gRPC port for the other entry hosts. */
 package burdockspread.peer
 
+import com.google.common.net.HostAndPort
 import io.grpc.BindableService
 import io.grpc.Server
 import io.grpc.netty.NettyServerBuilder
@@ -12,10 +13,7 @@
     private val server: Server =
         NettyServerBuilder
             .forAddress(
-                InetSocketAddress(
-                    address.substringBeforeLast(':'),
-                    address.substringAfterLast(':').toInt(),
-                ),
+                HostAndPort.fromString(address).let { InetSocketAddress(it.host, it.port) },
             ).maxInboundMessageSize(PeerChannels.MAX_MESSAGE_BYTES)
             .apply { services.forEach { addService(it) } }
             .build()
--- a/burdock-steward/src/main/kotlin/burdockspread/steward/StewardServer.kt
+++ b/burdock-steward/src/main/kotlin/burdockspread/steward/StewardServer.kt
@@ -2,6 +2,7 @@
 package burdockspread.steward
 
 import burdockspread.order.PlacementStatus
+import com.google.common.net.HostAndPort
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.engine.embeddedServer
@@ -39,15 +40,12 @@
 )
 
 /** Serves health, the state dump and the order to stop. */
-internal class StewardServer(private val address: String, private val dump: () -> StewardDump) {
+internal class StewardServer(address: String, private val dump: () -> StewardDump) {
     private lateinit var onDrain: () -> Unit
 
+    private val listenAddress = HostAndPort.fromString(address)
     private val server =
-        embeddedServer(
-            Netty,
-            address.substringAfterLast(':').toInt(),
-            address.substringBeforeLast(':'),
-        ) {
+        embeddedServer(Netty, listenAddress.port, listenAddress.host) {
             routing {
                 get("/healthz") { call.respondText("ok") }
                 get("/readyz") { call.respondText("ready") }
