--- a/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
@@ -62,6 +62,14 @@
     UNKNOWN_PATH(109, 404, Truth.NOT_RUN, false, "No such path or method."),
     TOO_MANY_TOKENS(110, 400, Truth.NOT_RUN, false, "max_tokens exceeds the limit of the model."),
 
+    HEADERS_TOO_LARGE(
+        111,
+        431,
+        Truth.NOT_RUN,
+        false,
+        "The request line and headers exceed the limit.",
+    ),
+
     RATE_LIMITED(
         201,
         429,
@@ -183,6 +191,14 @@
         "Refused before the key was looked up; an earlier send of it may have run.",
     ),
 
+    TARGET_TIMEOUT(
+        409,
+        504,
+        Truth.OUTCOME_UNKNOWN,
+        false,
+        "No whole answer came before the deadline; the call may have run.",
+    ),
+
     SECTION_CONFLICT(501, 409, Truth.NOT_RUN, true, "The section changed since it was read."),
     SECTION_INVALID(
         502,
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/relay/DocumentRelay.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/DocumentRelay.kt
@@ -10,6 +10,7 @@
 import burdockspread.store.StoredObject
 import burdockspread.store.WatchEvent
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.count
 import kotlinx.coroutines.flow.takeWhile
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -34,12 +35,8 @@
         var failures = 0
         while (true) {
             val version = catchUp(core)
-            if (version == null) {
-                failures++
-            } else {
-                failures = 0
-                watch(core, version)
-            }
+            val answers = if (version == null) 0 else watch(core, version)
+            failures = if (answers == 0) failures + 1 else 0
             delay(RelayChoice.jitter(self, failures, window(failures)))
         }
     }
@@ -57,12 +54,12 @@
         }
     }
 
-    private suspend fun watch(core: RelayCore, version: Long) {
+    /** Returns how many events came: a watch that ends without one counts as a failure. */
+    private suspend fun watch(core: RelayCore, version: Long): Int =
         store.watch(StoredDocument.KIND, version)
             .takeWhile { it !is WatchEvent.Ended }
             .takeWhile { carryOut(core, core.onEvent(it)) }
-            .collect { }
-    }
+            .count()
 
     /** Returns whether all reads had an answer. */
     private suspend fun carryOut(core: RelayCore, effects: List<RelayEffect>): Boolean {
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayCore.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayCore.kt
@@ -35,7 +35,7 @@
             contents.remove(event.key.name)
             none()
         }
-        is WatchEvent.Ended -> none()
+        is WatchEvent.Progress, is WatchEvent.Ended -> none()
     }.toImmutableList()
 
     /** Handles an object that was read. */
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
@@ -176,6 +176,7 @@
         is WatchEvent.Put -> event("MODIFIED", toJson(event.value))
         is WatchEvent.Deleted ->
             event("DELETED", toJson(StoredObject(event.key, event.version, "", "{}")))
+        is WatchEvent.Progress -> event("BOOKMARK", status("no change"))
         is WatchEvent.Ended -> event("ERROR", status(event.reason))
     }
 
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/store/FakeObjectStore.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/store/FakeObjectStore.kt
@@ -164,12 +164,13 @@
     private fun versionOf(event: WatchEvent): Long = when (event) {
         is WatchEvent.Put -> event.value.version
         is WatchEvent.Deleted -> event.version
+        is WatchEvent.Progress -> event.version
         is WatchEvent.Ended -> 0
     }
 
     private fun kindOf(event: WatchEvent): String = when (event) {
         is WatchEvent.Put -> event.value.key.kind
         is WatchEvent.Deleted -> event.key.kind
-        is WatchEvent.Ended -> ""
+        is WatchEvent.Progress, is WatchEvent.Ended -> ""
     }
 }
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -0,0 +1,115 @@
+/** The host's view of all targets, merged from the store's listings, its watch and peers. */
+package burdockspread.forward.directory
+
+import burdockspread.id.ServiceId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Merges news of targets. Not thread-safe; [view] returns immutable snapshots.
+ *
+ * Leaving beats live within one incarnation, and an older incarnation never replaces a newer one.
+ * Entries lapse while the store is away although their targets live; so what a listing after an
+ * outage lacks is kept as doubtful for [regainGrace] and is gone only then.
+ */
+public class TargetDirectory(private val regainGrace: Duration = REGAIN_GRACE) {
+    private var held = persistentMapOf<TargetId, Held>()
+
+    /** Store version up to which the directory knows the targets. */
+    public var version: Long = 0
+        private set
+
+    /** Replaces the directory by a listing as of [at]; older listings are ignored. */
+    public fun onListing(entries: List<TargetEntry>, at: Long, now: Instant) {
+        if (at < version) return
+        version = at
+        val listed = entries.associateBy { it.id }
+        listed.values.forEach(::merge)
+        (held.keys - listed.keys).forEach { id -> doubt(id, now) }
+    }
+
+    /** Takes one changed entry of a watch. */
+    public fun onEntry(entry: TargetEntry, at: Long) {
+        if (at <= version) return
+        version = at
+        merge(entry)
+    }
+
+    /**
+     * Takes the removal of [id]. Within [regainGrace] of [regainedAt], the instant at which the
+     * store came back, the entry may only have lapsed and is kept as doubtful.
+     */
+    public fun onRemoved(id: TargetId, at: Long, regainedAt: Instant?, now: Instant) {
+        if (at <= version) return
+        version = at
+        val lapsed = regainedAt != null && now - regainedAt < regainGrace
+        if (lapsed) doubt(id, now) else held = held.remove(id)
+    }
+
+    /** Advances the version when the store tells that nothing else has changed. */
+    public fun onProgress(at: Long) {
+        if (at > version) version = at
+    }
+
+    /** Drops what has been missing for [regainGrace]; true if that changed the directory. */
+    public fun expire(now: Instant): Boolean {
+        val gone = held.values.filter { it.doubtSince != null && now - it.doubtSince >= regainGrace }
+        gone.forEach { held = held.remove(it.entry.id) }
+        return gone.isNotEmpty()
+    }
+
+    /** All entries, leaving ones included, for peers. */
+    public fun entries(): ImmutableList<TargetEntry> =
+        held.values.map { it.entry }.toImmutableList()
+
+    /** The targets that may get new work, by service. */
+    public fun view(): DirectoryView {
+        val usable = held.values.filterNot { it.entry.leaving }
+        val services = usable.groupBy({ it.entry.service }, { Listed(it.entry, it.doubtSince != null) })
+        return DirectoryView(version, services.mapValues { it.value.toImmutableList() }.toImmutableMap())
+    }
+
+    private fun merge(entry: TargetEntry) {
+        val before = held[entry.id]?.entry
+        if (before != null && before.bornMillis > entry.bornMillis) return
+        val leaving = entry.leaving || (before?.sameIncarnation(entry) == true && before.leaving)
+        held = held.put(entry.id, Held(entry.copy(leaving = leaving), null))
+    }
+
+    private fun doubt(id: TargetId, now: Instant) {
+        val before = held[id] ?: return
+        if (before.doubtSince == null) held = held.put(id, before.copy(doubtSince = now))
+    }
+
+    private data class Held(val entry: TargetEntry, val doubtSince: Instant?)
+
+    public companion object {
+        /** Time after the store's return within which lapsed entries are back. */
+        public val REGAIN_GRACE: Duration = 2.seconds
+    }
+}
+
+/**
+ * Targets that may get new work.
+ *
+ * @property version store version that the view rests on.
+ */
+public class DirectoryView(
+    public val version: Long,
+    public val services: ImmutableMap<ServiceId, ImmutableList<Listed>>,
+) {
+    public companion object {
+        /** Knows no target. */
+        public val EMPTY: DirectoryView = DirectoryView(0, persistentMapOf())
+    }
+}
+
+/** A target of a view; a [doubtful] one is missing from the store since an outage. */
+public data class Listed(public val entry: TargetEntry, public val doubtful: Boolean)
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -0,0 +1,422 @@
+/** The state machine of one request. */
+package burdockspread.forward.exchange
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.forward.catalog.CallKind
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.forward.load.Decision
+import burdockspread.forward.load.Demand
+import burdockspread.forward.load.FlightOutcome
+import burdockspread.forward.load.LoadPolicy
+import burdockspread.id.TargetId
+import burdockspread.retry.RetryBudget
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+internal class RealExchange(
+    override val call: Call,
+    private val policy: LoadPolicy,
+    private val budget: RetryBudget,
+    private val listener: ExchangeListener,
+    private val options: ExchangeOptions,
+) : Exchange {
+    private val kind = call.route.kind
+    private val cutter = EventCutter(call.resumeAfter)
+    private var effects = persistentListOf<ExchangeEffect>()
+    private var avoid = persistentSetOf<TargetId>()
+    private var current: Attempt? = null
+    private var waiting = false
+
+    /** Attempts made, and those of them whose request may have reached a target that ran it. */
+    private var attempts = 0
+    private var delivered = 0
+    private var begun = false
+
+    /** Target that keeps a copy of the memory of the last run, until it has been tried. */
+    private var copyHolder: TargetEntry? = null
+
+    /** A target's own failure, passed on when nothing better comes. */
+    private var failure: HeldAnswer? = null
+
+    override var ended: Boolean = false
+        private set
+
+    override val wakeAt: Instant
+        get() {
+            val attempt = current ?: return call.deadline
+            return minOf(call.deadline, attempt.checkAt())
+        }
+
+    override fun start(now: Instant): ImmutableList<ExchangeEffect> = step {
+        budget.onFirstAttempt()
+        seek(now)
+    }
+
+    override fun onSettled(decision: Decision, now: Instant): ImmutableList<ExchangeEffect> = step {
+        if (!waiting) return@step
+        waiting = false
+        settle(decision, now)
+    }
+
+    override fun onHead(
+        attempt: Int,
+        head: AnswerHead,
+        now: Instant,
+    ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
+        run.heardAt = now
+        run.foreign = head.answers != null && head.answers != call.id
+        if (run.foreign) {
+            run.tainted = true
+            return@ofCurrent
+        }
+        policy.flights().onHead(call.ticket, head.load, now)
+        run.head = head
+        run.streams = kind.stream && head.success && head.isOurs()
+    }
+
+    override fun onBody(
+        attempt: Int,
+        bytes: ByteArray,
+        now: Instant,
+    ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
+        run.heardAt = now
+        if (run.foreign) return@ofCurrent
+        val head = run.head ?: return@ofCurrent
+        if (run.streams) {
+            pass(head, cutter.feed(bytes), run, now)
+        } else if (run.passing) {
+            emit(ExchangeEffect.Body(bytes))
+        } else {
+            run.held.write(bytes)
+            if (run.held.size() > options.heldBytes && head.isOurs()) passOn(run, head)
+        }
+    }
+
+    override fun onEnd(
+        attempt: Int,
+        reusable: Boolean,
+        now: Instant,
+    ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
+        if (run.foreign) {
+            run.foreign = false
+            return@ofCurrent
+        }
+        val head = run.head ?: return@ofCurrent
+        emit(ExchangeEffect.Release(run.number, reusable && !run.tainted))
+        when {
+            run.streams -> {
+                pass(head, cutter.finish(), run, now)
+                complete(run, head, now)
+            }
+            run.passing -> complete(run, head, now)
+            else -> judge(run, head, now)
+        }
+    }
+
+    override fun onFailure(
+        attempt: Int,
+        failure: AttemptFailure,
+        now: Instant,
+    ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
+        val outcome =
+            if (failure == AttemptFailure.NOT_CONNECTED) {
+                delivered--
+                FlightOutcome.UNREACHABLE
+            } else {
+                FlightOutcome.FAILED
+            }
+        if (failure == AttemptFailure.MALFORMED) emit(ExchangeEffect.Drop(run.number))
+        fail(run, outcome, failure.name, now)
+    }
+
+    override fun onProbe(
+        attempt: Int,
+        alive: Boolean,
+        now: Instant,
+    ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
+        if (alive || run.heardAt > run.probedAt) return@ofCurrent
+        emit(ExchangeEffect.Drop(run.number))
+        fail(run, FlightOutcome.SILENT, "no answer to a probe", now)
+    }
+
+    override fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect> = step {
+        cancelRun(now)
+        ended = true
+        listener.onCallerGone(call, attempts, now)
+    }
+
+    override fun onTimer(now: Instant, late: Duration): ImmutableList<ExchangeEffect> = step {
+        val run = current
+        when {
+            now >= call.deadline -> expire(now)
+            run == null -> Unit
+            late > TOLERATED_LATENESS -> run.heardAt = maxOf(run.heardAt, now - late)
+            now >= run.checkAt() -> onSilence(run, now)
+        }
+    }
+
+    override fun onStop(now: Instant): ImmutableList<ExchangeEffect> = step {
+        cancelRun(now)
+        giveUp(refusal(ErrorCode.DRAINING, "the host stops", STOP_RETRY), now)
+    }
+
+    /** Looks for a target, for the first time or again. */
+    private fun seek(now: Instant) {
+        val holder = copyHolder
+        val prompt = call.prompt
+        val first = attempts == 0
+        val objective = call.route.latencyObjective
+        val wait = if (first) objective * options.waitShare else options.resumeWait
+        val demand = Demand(
+            ticket = call.ticket,
+            promptTokens = prompt?.promptTokens ?: 0,
+            outputTokens = prompt?.outputTokens ?: 0,
+            priority = call.priority,
+            waitUntil = minOf(call.deadline, now + maxOf(wait, SHORTEST_WAIT)),
+            resume = !first,
+            avoid = avoid,
+            prefer = holder?.id,
+            wantsCopy = kind == CallKind.RESUMABLE_STREAM,
+        )
+        settle(policy.submit(demand, now), now)
+    }
+
+    private fun settle(decision: Decision, now: Instant) {
+        when (decision) {
+            is Decision.Placed -> send(decision, now)
+            is Decision.Waiting -> {
+                waiting = true
+                listener.onWaiting(call, now)
+            }
+            is Decision.Refused -> giveUp(decision.refusal, now)
+        }
+    }
+
+    private fun send(placed: Decision.Placed, now: Instant) {
+        attempts++
+        delivered++
+        val fromCopy = copyHolder?.takeIf { it.id == placed.target.id }
+        copyHolder = placed.copyTo
+        val run = Attempt(attempts, placed.target, now)
+        current = run
+        val send = ExchangeEffect.Send(
+            attempt = run.number,
+            target = placed.target,
+            remaining = call.deadline - now,
+            resumeAfter = cutter.lastId,
+            copyAt = fromCopy?.address,
+            copyTo = placed.copyTo,
+        )
+        listener.onSent(call, send, now)
+        emit(send)
+    }
+
+    private fun onSilence(run: Attempt, now: Instant) {
+        val silent = now - run.heardAt
+        if (!kind.stream) {
+            emit(ExchangeEffect.Drop(run.number))
+            fail(run, FlightOutcome.FAILED, "silent for $silent", now)
+            return
+        }
+        val limit = run.patience()
+        if (limit != null && silent >= limit) {
+            emit(ExchangeEffect.Drop(run.number))
+            fail(run, FlightOutcome.SILENT, "silent for $silent", now)
+            return
+        }
+        run.probedAt = now
+        emit(ExchangeEffect.Probe(run.number, run.target))
+    }
+
+    /** Decides what becomes of a whole answer that is no running stream. */
+    private fun judge(run: Attempt, head: AnswerHead, now: Instant) {
+        val answer = HeldAnswer(head, run.held.toByteArray())
+        when {
+            head.notRun -> {
+                delivered--
+                val replaced = head.status == MISDIRECTED
+                val outcome = if (replaced) FlightOutcome.REPLACED else FlightOutcome.SHED
+                fail(run, outcome, "not run, status ${head.status}", now)
+            }
+            !head.isOurs() -> fail(run, FlightOutcome.FAILED, "an answer without proof", now)
+            head.status >= SERVER_ERRORS && kind.repeatable -> {
+                failure = answer
+                fail(run, FlightOutcome.FAILED, "status ${head.status}", now)
+            }
+            else -> {
+                leave(run, outcomeOf(head), "status ${head.status}", now)
+                deliver(answer, now)
+            }
+        }
+    }
+
+    /** The attempt is over without an answer; another one follows where that is allowed. */
+    private fun fail(run: Attempt, outcome: FlightOutcome, detail: String, now: Instant) {
+        leave(run, outcome, detail, now)
+        avoid = avoid.add(run.target.id)
+        if (!run.streams && !begun) copyHolder = null
+        if (run.passing) return breakOff("the answer ended early: $detail", now)
+        cutter.restart()
+        if (!mayRetry(outcome, now)) return giveUp(exhausted(outcome, detail), now)
+        seek(now)
+    }
+
+    private fun mayRetry(outcome: FlightOutcome, now: Instant): Boolean {
+        if (!kind.repeatable && delivered > 0) return false
+        if (delivered >= call.route.maxAttempts || attempts >= MOST_SENDS) return false
+        if (call.deadline - now < SHORTEST_TRY) return false
+        return outcome == FlightOutcome.UNREACHABLE || budget.tryTake()
+    }
+
+    private fun exhausted(outcome: FlightOutcome, detail: String): Refusal = when {
+        delivered == 0 && outcome == FlightOutcome.SHED ->
+            refusal(ErrorCode.OVERLOADED, "every target was full: $detail", SHED_RETRY)
+        delivered == 0 -> refusal(ErrorCode.RETRY_BUDGET_SPENT, detail, SHED_RETRY)
+        kind.repeatable -> refusal(ErrorCode.CALL_FAILED, detail, null)
+        else -> refusal(ErrorCode.OUTCOME_UNKNOWN, detail, null)
+    }
+
+    private fun expire(now: Instant) {
+        cancelRun(now)
+        val code =
+            if (delivered > 0) ErrorCode.TARGET_TIMEOUT else ErrorCode.DEADLINE_UNREACHABLE
+        giveUp(refusal(code, "the deadline passed after $attempts attempts", null), now)
+    }
+
+    /** Ends with [refusal], with a target's own failure, or by breaking off what has begun. */
+    private fun giveUp(refusal: Refusal, now: Instant) {
+        if (begun) return breakOff(refusal.detail, now)
+        val held = failure
+        if (held != null) return deliver(held, now)
+        val truthful =
+            if (delivered > 0 && refusal.code.httpStatus in NOT_RUN_STATUSES) {
+                val code = if (kind.repeatable) ErrorCode.CALL_FAILED else ErrorCode.OUTCOME_UNKNOWN
+                refusal(code, refusal.detail, null)
+            } else {
+                refusal
+            }
+        ended = true
+        listener.onRefused(call, truthful, attempts, now)
+        emit(ExchangeEffect.Refuse(truthful))
+    }
+
+    private fun breakOff(reason: String, now: Instant) {
+        ended = true
+        listener.onBrokenOff(call, reason, attempts, now)
+        emit(ExchangeEffect.BreakOff)
+    }
+
+    private fun cancelRun(now: Instant) {
+        if (waiting) policy.cancel(call.ticket)
+        waiting = false
+        val run = current ?: return
+        emit(ExchangeEffect.Drop(run.number))
+        leave(run, FlightOutcome.CANCELLED, "cancelled", now)
+    }
+
+    private fun pass(head: AnswerHead, bytes: ByteArray, run: Attempt, now: Instant) {
+        if (bytes.isEmpty()) return
+        if (!begun) emit(ExchangeEffect.Begin(head, null))
+        begun = true
+        run.events++
+        run.eventAt = now
+        emit(ExchangeEffect.Body(bytes))
+    }
+
+    /** Starts to pass an answer on that is too large to be held. */
+    private fun passOn(run: Attempt, head: AnswerHead) {
+        run.passing = true
+        begun = true
+        emit(ExchangeEffect.Begin(head, null))
+        emit(ExchangeEffect.Body(run.held.toByteArray()))
+        run.held.reset()
+    }
+
+    private fun complete(run: Attempt, head: AnswerHead, now: Instant) {
+        leave(run, outcomeOf(head), "status ${head.status}", now)
+        if (!begun) emit(ExchangeEffect.Begin(head, 0))
+        ended = true
+        listener.onAnswered(call, head.status, attempts, now)
+        emit(ExchangeEffect.End)
+    }
+
+    private fun deliver(answer: HeldAnswer, now: Instant) {
+        ended = true
+        listener.onAnswered(call, answer.head.status, attempts, now)
+        emit(ExchangeEffect.Begin(answer.head, answer.body.size))
+        if (answer.body.isNotEmpty()) emit(ExchangeEffect.Body(answer.body))
+        emit(ExchangeEffect.End)
+    }
+
+    private fun leave(run: Attempt, outcome: FlightOutcome, detail: String, now: Instant) {
+        current = null
+        policy.flights().onEnded(call.ticket, outcome, now)
+        listener.onAttemptEnded(call, run.number, run.target, outcome, detail, now)
+    }
+
+    private fun outcomeOf(head: AnswerHead): FlightOutcome =
+        if (head.status >= SERVER_ERRORS) FlightOutcome.FAILED else FlightOutcome.DONE
+
+    private fun AnswerHead.isOurs(): Boolean = sealed && answers == call.id
+
+    private fun refusal(code: ErrorCode, detail: String, retryAfter: Duration?): Refusal =
+        Refusal(code, detail, retryAfter)
+
+    private fun emit(effect: ExchangeEffect) {
+        effects = effects.add(effect)
+    }
+
+    private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
+        if (ended) return persistentListOf()
+        block()
+        return effects.also { effects = persistentListOf() }
+    }
+
+    private inline fun ofCurrent(
+        attempt: Int,
+        block: (Attempt) -> Unit,
+    ): ImmutableList<ExchangeEffect> = step {
+        val run = current
+        if (run != null && run.number == attempt) block(run)
+    }
+
+    /** Instant at which the silence of this attempt has to be looked at. */
+    private fun Attempt.checkAt(): Instant {
+        if (!kind.stream) {
+            if (!kind.repeatable) return Instant.DISTANT_FUTURE
+            return heardAt + call.route.latencyObjective * options.silenceObjectives
+        }
+        val probe = maxOf(heardAt, probedAt) + options.probeAfter
+        return patience()?.let { minOf(probe, heardAt + it) } ?: probe
+    }
+
+    /** Pause between events that is taken for a loss, or null while none is due or allowed. */
+    private fun Attempt.patience(): Duration? = when {
+        events == 0 || !kind.repeatable -> null
+        copyHolder != null -> options.copyPatience
+        else -> options.barePatience
+    }
+
+    private companion object {
+        const val SERVER_ERRORS = 500
+        const val MISDIRECTED = 421
+
+        /** Statuses by which the system promises that a request has not run. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+
+        /** Sends of one request, those included that reached no target or did not run. */
+        const val MOST_SENDS = 8
+
+        /** A timer that is later than this tells of the host's own pause, not of the target's. */
+        val TOLERATED_LATENESS = 60.milliseconds
+        val SHORTEST_WAIT = 20.milliseconds
+        val SHORTEST_TRY = 50.milliseconds
+        val SHED_RETRY = 60.milliseconds
+        val STOP_RETRY = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -0,0 +1,154 @@
+/** Who waits, who is refused and where work goes. */
+package burdockspread.forward.load
+
+import burdockspread.error.Refusal
+import burdockspread.forward.catalog.Service
+import burdockspread.forward.directory.Listed
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.id.FailureDomainId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Places the requests of one service on its targets. Not thread-safe and without input or output:
+ * the shell calls it from the loop that serves requests.
+ *
+ * Each host sees its own requests at once and those of the other hosts only through the load that
+ * targets report with their answers.
+ */
+public interface LoadPolicy {
+    /** Sets the service's figures and the targets that may get new work. */
+    public fun onTargets(service: Service, targets: ImmutableList<Listed>, now: Instant)
+
+    /** Places [demand] now, lets it wait, or refuses it. */
+    public fun submit(demand: Demand, now: Instant): Decision
+
+    /** Decides on waiting demands; call it when work ended or targets changed, and every tick. */
+    public fun poll(now: Instant): ImmutableList<Settled>
+
+    /** Takes a waiting demand back. */
+    public fun cancel(ticket: Long)
+
+    /** Records the events of a placed request. */
+    public fun flights(): FlightBook
+
+    /** Figures for metrics and state dumps. */
+    public fun stats(now: Instant): PoolStats
+
+    /** Makes the policy of one service on a host in [ownDomain]. */
+    public fun interface Factory {
+        public fun create(ownDomain: FailureDomainId, seed: Long): LoadPolicy
+    }
+
+    public companion object {
+        /** The policy described in `docs/design/platform.md`. */
+        public fun factory(options: LoadOptions = LoadOptions()): Factory =
+            Factory { domain, seed -> RealLoadPolicy(domain, seed, options) }
+    }
+}
+
+/**
+ * What a request needs of a target.
+ *
+ * @property ticket names the request towards the policy; unique within the process.
+ * @property promptTokens tokens to read, 0 for calls of plain services.
+ * @property outputTokens expected tokens to generate, 0 for calls of plain services.
+ * @property waitUntil latest instant at which it is worth starting.
+ * @property resume whether it goes on with an answer that is partly delivered.
+ * @property avoid targets that failed this request.
+ * @property prefer target that holds a copy of the run's memory, or null.
+ * @property wantsCopy whether a second target should keep a copy of the run's memory.
+ */
+public data class Demand(
+    public val ticket: Long,
+    public val promptTokens: Int = 0,
+    public val outputTokens: Int = 0,
+    public val priority: Int = 0,
+    public val waitUntil: Instant,
+    public val resume: Boolean = false,
+    public val avoid: ImmutableSet<TargetId> = persistentSetOf(),
+    public val prefer: TargetId? = null,
+    public val wantsCopy: Boolean = false,
+)
+
+/** What becomes of a demand. */
+public sealed interface Decision {
+    /** Send it to [target] now; [copyTo] may keep a copy of the run's memory. */
+    public data class Placed(public val target: TargetEntry, public val copyTo: TargetEntry?) :
+        Decision
+
+    /** It waits until [LoadPolicy.poll] settles it. */
+    public data object Waiting : Decision
+
+    /** It was not sent and will not be. */
+    public data class Refused(public val refusal: Refusal) : Decision
+}
+
+/** The end of a wait. */
+public data class Settled(public val ticket: Long, public val decision: Decision)
+
+/** Takes the events of requests that were placed. */
+public interface FlightBook {
+    /** The first event or the answer's head came, with what the target said of its load. */
+    public fun onHead(ticket: Long, load: ReportedLoad?, now: Instant)
+
+    /** The request is off the target: done, failed or cancelled. */
+    public fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant)
+}
+
+/** Load of a target as it says itself, of all hosts together. */
+public data class ReportedLoad(
+    public val running: Int,
+    public val waiting: Int,
+    public val slots: Int,
+)
+
+/** How a request left a target. */
+public enum class FlightOutcome {
+    /** A whole answer came. */
+    DONE,
+
+    /** The target failed the request, or broke off. */
+    FAILED,
+
+    /** The target said that it is full; the request did not run. */
+    SHED,
+
+    /** No connection could be made. */
+    UNREACHABLE,
+
+    /** The target accepted the request and fell silent. */
+    SILENT,
+
+    /** Another target has the address. */
+    REPLACED,
+
+    /** The caller left or the time ran out; says nothing about the target. */
+    CANCELLED,
+}
+
+/** Figures of one service's pool. */
+public data class PoolStats(
+    public val targets: Int,
+    public val suspected: Int,
+    public val flights: Int,
+    public val waiting: Int,
+)
+
+/** Tuning of [LoadPolicy]. */
+public data class LoadOptions(
+    /** Part of a runner's memory that is planned for; the rest covers what other hosts send. */
+    public val memoryShare: Double = 0.92,
+    /** Most demands that wait for one service on one host. */
+    public val queueBound: Int = 256,
+    /** Score by which a target of another failure domain is worse; bytes between domains cost. */
+    public val crossDomainScore: Double = 0.6,
+    /** Score of a target that fails every request. */
+    public val failureScore: Double = 12.0,
+    /** Longest time for which a target that failed to connect is left out. */
+    public val longestPause: Duration = LONGEST_PAUSE,
+)
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -0,0 +1,192 @@
+/** Least expected load, with room for a run and its copy, own failure domain first. */
+package burdockspread.forward.load
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.forward.catalog.Service
+import burdockspread.forward.directory.Listed
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.id.FailureDomainId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentListOf
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+internal class RealLoadPolicy(
+    private val ownDomain: FailureDomainId,
+    seed: Long,
+    private val options: LoadOptions,
+) : LoadPolicy,
+    FlightBook {
+    private val random = Random(seed)
+    private val targets = LinkedHashMap<TargetId, TargetLoad>()
+    private val placements = HashMap<Long, TargetId>()
+    private val copies = HashMap<Long, TargetId>()
+    private val queue = WaitingQueue()
+    private var service: Service? = null
+
+    override fun onTargets(service: Service, targets: ImmutableList<Listed>, now: Instant) {
+        this.service = service
+        val ids = targets.map { it.entry.id }.toSet()
+        this.targets.keys.retainAll(ids)
+        targets.forEach { listed ->
+            this.targets.getOrPut(listed.entry.id) { TargetLoad(listed) }.onListed(listed)
+        }
+    }
+
+    override fun submit(demand: Demand, now: Instant): Decision {
+        if (queue.mayOvertake(demand)) place(demand, now)?.let { return it }
+        if (targets.isEmpty() && !demand.resume) return Decision.Refused(noTarget())
+        if (now >= demand.waitUntil) return Decision.Refused(overloaded(now))
+        if (queue.size >= options.queueBound) return Decision.Refused(overloaded(now))
+        queue.add(demand)
+        return Decision.Waiting
+    }
+
+    override fun poll(now: Instant): ImmutableList<Settled> {
+        if (queue.size == 0) return persistentListOf()
+        return persistentListOf<Settled>().mutate { settled ->
+            queue.expired(now).forEach {
+                settled += Settled(it.ticket, Decision.Refused(overloaded(now)))
+            }
+            for (demand in queue.inOrder()) {
+                val placed = place(demand, now) ?: continue
+                queue.remove(demand.ticket)
+                settled += Settled(demand.ticket, placed)
+            }
+        }
+    }
+
+    override fun cancel(ticket: Long) {
+        queue.remove(ticket)
+    }
+
+    override fun flights(): FlightBook = this
+
+    override fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
+        placements[ticket]?.let { targets[it] }?.onHead(ticket, load, now)
+    }
+
+    override fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant) {
+        copies.remove(ticket)?.let { targets[it] }?.remove(ticket)
+        placements.remove(ticket)?.let { targets[it] }?.onEnded(ticket, outcome, now)
+    }
+
+    override fun stats(now: Instant): PoolStats = PoolStats(
+        targets = targets.size,
+        suspected = targets.values.count { it.paused(now) },
+        flights = placements.size,
+        waiting = queue.size,
+    )
+
+    private fun place(demand: Demand, now: Instant): Decision.Placed? {
+        val chosen = choose(demand, now) ?: return null
+        val copyTo = if (demand.wantsCopy) copyTarget(demand, chosen, now) else null
+        val tokens = demand.promptTokens + demand.outputTokens
+        placements[demand.ticket] = chosen.entry.id
+        chosen.add(demand.ticket, FlightLoad(chosen.entry.id, demand.promptTokens, tokens, now))
+        if (copyTo != null) {
+            copies[demand.ticket] = copyTo.entry.id
+            copyTo.add(demand.ticket, FlightLoad(copyTo.entry.id, 0, tokens, now, copy = true))
+        }
+        return Decision.Placed(chosen.entry, copyTo?.entry)
+    }
+
+    private fun choose(demand: Demand, now: Instant): TargetLoad? {
+        val preferred = demand.prefer?.let { targets[it] }
+        if (preferred != null && !preferred.paused(now)) return preferred
+        val open = targets.values.filter { it.entry.id !in demand.avoid && hasRoom(it, demand, now) }
+        val calm = open.filterNot { it.paused(now) || it.doubtful }
+        val last = { open.filterNot { it.paused(now) }.ifEmpty { lastResort(demand) } }
+        return calm.ifEmpty(last).minByOrNull { score(it, demand, now) }
+    }
+
+    /** Targets that failed this request or do not answer, when the pool has nothing else. */
+    private fun lastResort(demand: Demand): List<TargetLoad> =
+        if (targets.size <= demand.avoid.size) targets.values.toList() else emptyList()
+
+    /** Another target for the copy, in another failure domain where there is one. */
+    private fun copyTarget(demand: Demand, run: TargetLoad, now: Instant): TargetLoad? {
+        val open = targets.values.filter {
+            it !== run && it.entry.id !in demand.avoid && !it.doubtful && !it.paused(now) &&
+                hasRoom(it, demand, now)
+        }
+        val apart = open.filter { it.entry.failureDomain != run.entry.failureDomain }
+        return apart.ifEmpty { open }.minByOrNull { score(it, demand, now) }
+    }
+
+    private fun hasRoom(target: TargetLoad, demand: Demand, now: Instant): Boolean {
+        val engine = service?.engine
+        val others = target.others(now, fade())
+        if (engine == null) return target.own + others < target.entry.slots * PLAIN_DEPTH
+        val tokens = demand.promptTokens + demand.outputTokens
+        val used = target.ownTokens + others * tokens
+        val room = engine.memoryTokens * options.memoryShare
+        return target.own + others < engine.slots && used + tokens <= room
+    }
+
+    private fun score(target: TargetLoad, demand: Demand, now: Instant): Double {
+        val far = if (target.entry.failureDomain == ownDomain) 0.0 else options.crossDomainScore
+        val load = target.own + target.others(now, fade())
+        val reading = target.unreadTokens / READING_TOKENS
+        val excess = (target.failureRate - failureBaseline()).coerceAtLeast(0.0)
+        val sick = excess * options.failureScore
+        val jitter = random.nextDouble() * JITTER
+        return (load + 1) * slowness(target) + reading + far + sick + jitter
+    }
+
+    /** How much longer than the pool's median a target takes; 1 where nothing is known. */
+    private fun slowness(target: TargetLoad): Double {
+        val known = targets.values.map { it.meanLatency }.filter { it > 0.0 }.sorted()
+        if (known.isEmpty() || target.meanLatency == 0.0) return 1.0
+        return (target.meanLatency / known[known.size / 2]).coerceIn(1.0, MAX_SLOWNESS)
+    }
+
+    /** Failure rate that is usual in this pool. */
+    private fun failureBaseline(): Double {
+        val rates = targets.values.map { it.failureRate }.sorted()
+        return if (rates.isEmpty()) 0.0 else rates[rates.size / 2]
+    }
+
+    private fun fade(): Duration = if (service?.engine == null) PLAIN_FADE else ENGINE_FADE
+
+    private fun noTarget() =
+        Refusal(ErrorCode.NO_TARGET, "the service has no live target", RETRY_WITHOUT_TARGET)
+
+    private fun overloaded(now: Instant): Refusal {
+        val busy = if (service?.engine == null) RETRY_PLAIN else RETRY_ENGINE
+        val spread = busy * (1.0 + random.nextDouble())
+        val paused = targets.values.count { it.paused(now) }
+        return Refusal(
+            ErrorCode.OVERLOADED,
+            "no room at ${targets.size} targets, $paused of them paused, ${queue.size} wait",
+            spread,
+        )
+    }
+
+    private companion object {
+        /** Requests per slot up to which a plain service is sent more. */
+        const val PLAIN_DEPTH = 2.0
+
+        /** Unread prompt tokens that weigh as much as one running request. */
+        const val READING_TOKENS = 2_000.0
+
+        /** Random part of a score, so that hosts with the same view do not choose alike. */
+        const val JITTER = 0.4
+        const val MAX_SLOWNESS = 8.0
+
+        /** Time in which reported load of other hosts fades: about the length of a request. */
+        val PLAIN_FADE = 300.milliseconds
+        val ENGINE_FADE = 5.seconds
+
+        /** Shortest Retry-After by what the pool is short of; returns spread over twice that. */
+        val RETRY_WITHOUT_TARGET = 500.milliseconds
+        val RETRY_PLAIN = 80.milliseconds
+        val RETRY_ENGINE = 1_500.milliseconds
+    }
+}
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -0,0 +1,119 @@
+/** What a host knows about the load and the health of one target. */
+package burdockspread.forward.load
+
+import burdockspread.forward.directory.Listed
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.id.TargetId
+import kotlin.math.max
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+internal val LONGEST_PAUSE: Duration = 2.seconds
+
+/** Own requests in flight at one target, corrected by what the target reports. */
+internal class TargetLoad(listed: Listed) {
+    var entry: TargetEntry = listed.entry
+        private set
+    var doubtful: Boolean = listed.doubtful
+        private set
+    private val flights = LinkedHashMap<Long, FlightLoad>()
+    private var others = 0.0
+    private var othersAt: Instant = Instant.DISTANT_PAST
+    private var failures = 0.0
+    private var latency = 0.0
+    private var pausedUntil: Instant = Instant.DISTANT_PAST
+    private var pause = ZERO
+
+    /** Takes a changed entry; a new incarnation starts with a clean record. */
+    fun onListed(listed: Listed) {
+        val reborn = !entry.sameIncarnation(listed.entry) || entry.address != listed.entry.address
+        entry = listed.entry
+        doubtful = listed.doubtful
+        if (!reborn) return
+        failures = 0.0
+        others = 0.0
+        pausedUntil = Instant.DISTANT_PAST
+        pause = ZERO
+    }
+
+    val own: Int get() = flights.size
+    val meanLatency: Double get() = latency
+    val failureRate: Double get() = failures
+
+    /** Tokens of memory that own requests and their copies need here. */
+    val ownTokens: Int get() = flights.values.sumOf { it.tokens }
+
+    /** Prompt tokens of own requests that have not begun to answer. */
+    val unreadTokens: Int get() = flights.values.sumOf { if (it.answering) 0 else it.promptTokens }
+
+    /** Requests of other hosts, fading between reports. */
+    fun others(now: Instant, fade: Duration): Double {
+        val age = (now - othersAt).coerceAtLeast(ZERO)
+        return if (age >= fade) 0.0 else others * (1.0 - age / fade)
+    }
+
+    fun paused(now: Instant): Boolean = now < pausedUntil
+
+    fun add(ticket: Long, flight: FlightLoad) {
+        flights[ticket] = flight
+    }
+
+    fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
+        val flight = flights[ticket]
+        flight?.answering = true
+        if (load == null) return
+        val mine = flights.values.count { !it.copy }
+        others = max(0.0, (load.running + load.waiting - mine).toDouble())
+        othersAt = now
+    }
+
+    fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant) {
+        val flight = flights.remove(ticket) ?: return
+        when (outcome) {
+            FlightOutcome.DONE -> {
+                failures *= 1.0 - WEIGHT
+                pause = ZERO
+                noteLatency(now - flight.since)
+            }
+            FlightOutcome.FAILED, FlightOutcome.SHED -> failures += (1.0 - failures) * WEIGHT
+            FlightOutcome.SILENT, FlightOutcome.UNREACHABLE, FlightOutcome.REPLACED -> {
+                failures += (1.0 - failures) * WEIGHT
+                lengthenPause(now)
+            }
+            FlightOutcome.CANCELLED -> Unit
+        }
+    }
+
+    fun remove(ticket: Long): Boolean = flights.remove(ticket) != null
+
+    private fun lengthenPause(now: Instant) {
+        pause = (pause * 2).coerceIn(FIRST_PAUSE, LONGEST_PAUSE)
+        pausedUntil = now + pause
+    }
+
+    private fun noteLatency(took: Duration) {
+        val seconds = took.toDouble(DurationUnit.SECONDS)
+        latency = if (latency == 0.0) seconds else latency + (seconds - latency) * WEIGHT
+    }
+
+    private companion object {
+        /** Weight of the newest answer in failure rate and latency. */
+        const val WEIGHT = 0.15
+        val FIRST_PAUSE = 300.milliseconds
+    }
+}
+
+/** What one request, or the copy of one, takes of a target. */
+internal class FlightLoad(
+    val target: TargetId,
+    val promptTokens: Int,
+    val tokens: Int,
+    val since: Instant,
+    val copy: Boolean = false,
+) {
+    var answering: Boolean = copy
+}
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -0,0 +1,137 @@
+/** The process that forwards requests: wiring, start and planned stop. */
+package burdockspread.forward.host
+
+import burdockspread.forward.http.Calls
+import burdockspread.forward.http.Connections
+import burdockspread.forward.http.Transport
+import burdockspread.forward.load.LoadPolicy
+import burdockspread.forward.news.HostNews
+import burdockspread.forward.news.PeerNews
+import burdockspread.id.FailureDomainId
+import burdockspread.settings.ExitCode
+import burdockspread.settings.MonotonicTime
+import burdockspread.settings.toKotlin
+import burdockspread.store.KindFollower
+import burdockspread.wire.forward.NewsRequest
+import burdockspread.wire.settings.ForwardSettings
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs the forwarder of one host on the platform described by [deployment]. */
+public class ForwardHost(
+    private val settings: ForwardSettings,
+    private val deployment: Deployment,
+) {
+    private val clock = MonotonicTime()
+    private val log = ForwardLog()
+    private val transport = Transport()
+    private val calls = Calls(Connections(transport, transport.control), transport.control)
+    private val store = deployment.store(settings.storeAddress, calls)
+    private val news = HostNews(deployment, clock, log)
+    private val peers = PeerNews(
+        settings.host.name,
+        settings.peerAddress,
+        settings.seedPeersList,
+        news,
+        calls,
+        clock,
+        Random(settings.host.name.hashCode()),
+    )
+    private val pools = ServicePools(
+        FailureDomainId(settings.host.failureDomain),
+        settings.retries,
+        { peers.hosts },
+        LoadPolicy.factory(),
+    )
+    private val server =
+        RequestServer(deployment, transport, clock, pools, { news.view }, log)
+    private val scope =
+        CoroutineScope(SupervisorJob() + transport.control.asCoroutineDispatcher())
+    private val stopped = CompletableDeferred<ExitCode>()
+
+    @Volatile
+    private var stopping = false
+
+    /** Opens the ports and begins to follow the store. */
+    public fun start() {
+        follow()
+        val ready = SmallServer { path, _ -> ready(path) }
+        transport.listen(transport.requests, settings.readyAddress, ready::onConnection)
+        transport.listen(transport.requests, settings.callerAddress, server::onConnection)
+        val news = SmallServer(::peerNews)
+        transport.listen(transport.control, settings.peerAddress, news::onConnection)
+        transport.requests.execute(server::start)
+        log.onProcess("started", "${settings.host.name} in ${settings.host.failureDomain}")
+    }
+
+    /** Begins a planned stop: no longer ready, running requests are finished. */
+    public fun drain() {
+        if (stopping) return
+        stopping = true
+        server.stopTaking()
+        log.onProcess("stopping", "${server.openRequests} requests are open")
+        scope.launch { finish() }
+    }
+
+    /** Waits for the end of a planned stop. */
+    public suspend fun awaitStop(): ExitCode = stopped.await()
+
+    private fun follow() {
+        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
+        kinds.forEach { kind -> scope.launch { KindFollower(kind, store, news, clock).run() } }
+        scope.launch { peers.run() }
+        val list = HostList(settings.host.name, settings.peerAddress, store, peers)
+        scope.launch { list.run() }
+    }
+
+    private suspend fun finish() {
+        val start = clock.now()
+        val limit = settings.stopGrace.toKotlin() - STOP_MARGIN
+        while (clock.now() - start < limit) {
+            val quiet = server.openRequests == 0
+            if (quiet && clock.now() - start >= BALANCER_TIME) break
+            delay(POLL)
+        }
+        log.onProcess("stopped", "${server.openRequests} requests are broken off")
+        transport.requests.execute {
+            server.stopAll()
+            stopped.complete(ExitCode.OK)
+        }
+        scope.cancel()
+    }
+
+    private fun ready(path: String): SmallAnswer {
+        val ready = path == deployment.dialect.readyPath && news.view.serving && !stopping
+        return SmallAnswer(if (ready) OK else UNAVAILABLE)
+    }
+
+    private fun peerNews(path: String, body: ByteArray): SmallAnswer {
+        if (path != PeerNews.PATH) return SmallAnswer(NOT_FOUND)
+        val request = NewsRequest.parseFrom(body)
+        peers.onPeer(request.address)
+        val reply = news.reply(request, peers.known()).toByteArray()
+        return SmallAnswer(OK, reply, "application/x-protobuf")
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+
+        /** The balancer asks each second, and takes a host out after two misses. */
+        val BALANCER_TIME: Duration = 3_500.milliseconds
+
+        /** Left of the grace for ending what runs and for the end of the process. */
+        val STOP_MARGIN: Duration = 600.milliseconds
+        val POLL: Duration = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -0,0 +1,134 @@
+/** One JSON line for each decision that touches a request or changes what the host believes. */
+package burdockspread.forward.host
+
+import burdockspread.error.Refusal
+import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.forward.exchange.Call
+import burdockspread.forward.exchange.ExchangeEffect
+import burdockspread.forward.exchange.ExchangeListener
+import burdockspread.forward.load.FlightOutcome
+import burdockspread.forward.news.NewsListener
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.message.StringMapMessage
+import kotlin.time.Instant
+
+/** Writes the lines; `event` names the decision, `request` the caller's id. */
+internal class ForwardLog :
+    ExchangeListener,
+    NewsListener {
+    override fun onWaiting(call: Call, now: Instant): Unit = line(call, "waiting", now).info()
+
+    override fun onSent(call: Call, send: ExchangeEffect.Send, now: Instant) {
+        if (send.attempt == 1) return
+        line(call, if (send.resumeAfter == null) "retried" else "resumed", now)
+            .with("attempt", send.attempt.toString())
+            .with("target", send.target.id.value)
+            .with("after_event", send.resumeAfter.orEmpty())
+            .with("copy_at", send.copyAt.orEmpty())
+            .info()
+    }
+
+    override fun onAttemptEnded(
+        call: Call,
+        attempt: Int,
+        target: TargetEntry,
+        outcome: FlightOutcome,
+        detail: String,
+        now: Instant,
+    ) {
+        if (outcome == FlightOutcome.DONE) return
+        line(call, "attempt_failed", now)
+            .with("attempt", attempt.toString())
+            .with("target", target.id.value)
+            .with("address", target.address)
+            .with("outcome", outcome.name)
+            .with("detail", detail)
+            .info()
+    }
+
+    override fun onAnswered(call: Call, status: Int, attempts: Int, now: Instant): Unit =
+        line(call, "answered", now)
+            .with("status", status.toString())
+            .with("attempts", attempts.toString())
+            .info()
+
+    override fun onRefused(call: Call, refusal: Refusal, attempts: Int, now: Instant): Unit =
+        line(call, "refused", now)
+            .with("code", refusal.code.number.toString())
+            .with("status", refusal.code.httpStatus.toString())
+            .with("truth", refusal.truth.name)
+            .with("detail", refusal.detail)
+            .with("retry_after", refusal.retryAfter?.toString().orEmpty())
+            .with("attempts", attempts.toString())
+            .warn()
+
+    override fun onBrokenOff(call: Call, reason: String, attempts: Int, now: Instant): Unit =
+        line(call, "broken_off", now)
+            .with("detail", reason)
+            .with("attempts", attempts.toString())
+            .warn()
+
+    override fun onCallerGone(call: Call, attempts: Int, now: Instant): Unit =
+        line(call, "caller_gone", now).with("attempts", attempts.toString()).info()
+
+    override fun onCatalog(catalog: Catalog, source: String): Unit = news("configuration")
+        .with("version", catalog.version.toString())
+        .with("source", source)
+        .with("routes", catalog.routes.size.toString())
+        .info()
+
+    override fun onCatalogUnreadable(version: Long, reason: String): Unit =
+        news("configuration_unreadable")
+            .with("store_version", version.toString())
+            .with("detail", reason)
+            .warn()
+
+    override fun onTarget(entry: TargetEntry, version: Long): Unit =
+        news(if (entry.leaving) "target_leaving" else "target")
+            .with("target", entry.id.value)
+            .with("address", entry.address)
+            .with("store_version", version.toString())
+            .info()
+
+    override fun onTargetGone(name: String, version: Long): Unit =
+        news("target_gone").with("target", name).with("store_version", version.toString()).info()
+
+    override fun onStoreLost(kind: String, reason: String): Unit =
+        news("store_lost").with("kind", kind).with("detail", reason).warn()
+
+    override fun onStoreRegained(kind: String): Unit =
+        news("store_regained").with("kind", kind).warn()
+
+    /** A request that was refused before it was known to be a call. */
+    fun onTurnedAway(id: String?, path: String, refusal: Refusal): Unit = news("turned_away")
+        .with("request", id.orEmpty())
+        .with("path", path)
+        .with("code", refusal.code.number.toString())
+        .with("status", refusal.code.httpStatus.toString())
+        .with("detail", refusal.detail)
+        .info()
+
+    fun onProcess(event: String, detail: String): Unit =
+        news(event).with("detail", detail).info()
+
+    private fun line(call: Call, event: String, now: Instant): StringMapMessage =
+        StringMapMessage(CAPACITY)
+            .with("event", event)
+            .with("request", call.id)
+            .with("service", call.service.value)
+            .with("route", call.route.name)
+            .with("ms", (now - call.receivedAt).inWholeMilliseconds.toString())
+
+    private fun news(event: String): StringMapMessage =
+        StringMapMessage(CAPACITY).with("event", event)
+
+    private fun StringMapMessage.info(): Unit = log.info(this)
+
+    private fun StringMapMessage.warn(): Unit = log.warn(this)
+
+    private companion object {
+        const val CAPACITY = 12
+        val log = LogManager.getLogger("forward")
+    }
+}
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -0,0 +1,70 @@
+/** The hosts of the system, as they register themselves in the store. */
+package burdockspread.forward.host
+
+import burdockspread.forward.news.PeerNews
+import burdockspread.store.ListResult
+import burdockspread.store.ObjectKey
+import burdockspread.store.ObjectStore
+import burdockspread.store.ReadResult
+import burdockspread.store.ResolvedWrite
+import burdockspread.store.ResolvingStore
+import burdockspread.store.WriteCondition
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Registers this host under [name] and keeps [peers] up to date by listing the others now and
+ * then. Hosts that were lost stay listed: an address that does not answer costs a peer's question.
+ */
+internal class HostList(
+    private val name: String,
+    private val address: String,
+    private val store: ObjectStore,
+    private val peers: PeerNews,
+) {
+    private val resolving = ResolvingStore(store)
+    private val key = ObjectKey(KIND, name)
+    private val value = "{\"address\":\"$address\"}"
+
+    /** Runs until it is cancelled. */
+    suspend fun run() {
+        while (!register()) delay(RETRY)
+        while (true) {
+            list()
+            delay(LIST_INTERVAL)
+        }
+    }
+
+    private suspend fun register(): Boolean {
+        val condition = when (val read = store.get(key)) {
+            is ReadResult.Unavailable -> return false
+            is ReadResult.Missing -> WriteCondition.Absent
+            is ReadResult.Found -> {
+                if (address in read.value.value) return true
+                WriteCondition.AtVersion(read.value.version)
+            }
+        }
+        val written = resolving.put(key, value, condition, "$name-$address")
+        if (written !is ResolvedWrite.Written) log.warn("the host is not registered yet: {}", written)
+        return written is ResolvedWrite.Written
+    }
+
+    private suspend fun list() {
+        val listed = store.list(KIND)
+        if (listed !is ListResult.Listed) return
+        val found = listed.objects.mapNotNull { ADDRESS.find(it.value)?.groupValues?.get(1) }
+        peers.onListed(found)
+    }
+
+    private companion object {
+        const val KIND = "forward-hosts"
+        val ADDRESS = Regex("\"address\"\\s*:\\s*\"([0-9.:]+)\"")
+        val RETRY: Duration = 3.seconds
+
+        /** Peers are needed only when the store is away; half a minute old is new enough. */
+        val LIST_INTERVAL: Duration = 30.seconds
+        val log = LogManager.getLogger(HostList::class.java)
+    }
+}
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -0,0 +1,64 @@
+/** The load policies and retry budgets of all services on the request loop. */
+package burdockspread.forward.host
+
+import burdockspread.forward.http.ExchangeRunner
+import burdockspread.forward.load.LoadPolicy
+import burdockspread.id.FailureDomainId
+import burdockspread.id.ServiceId
+import burdockspread.retry.RetryBudget
+import burdockspread.wire.settings.RetrySettings
+import kotlinx.collections.immutable.persistentListOf
+import kotlin.time.Instant
+
+/** One service's policy, its budget and the requests that wait for room. */
+internal class ServicePool(val policy: LoadPolicy, val budget: RetryBudget) {
+    val running = LinkedHashMap<Long, ExchangeRunner>()
+}
+
+/** Makes and updates the pools. Not thread-safe. */
+internal class ServicePools(
+    private val domain: FailureDomainId,
+    private val retries: RetrySettings,
+    private val hosts: () -> Int,
+    private val factory: LoadPolicy.Factory,
+) {
+    private val pools = HashMap<ServiceId, ServicePool>()
+    private var applied: HostView? = null
+
+    val all: Collection<ServicePool> get() = pools.values
+
+    fun entries(): Map<ServiceId, ServicePool> = pools
+
+    fun pool(service: ServiceId): ServicePool = pools.getOrPut(service) {
+        val policy = factory.create(domain, service.value.hashCode().toLong())
+        // Half of the shared slack: a token bucket may spend its capacity within any window.
+        val capacity = (retries.slack / (2 * hosts().coerceAtLeast(FEWEST_HOSTS))).coerceAtLeast(1)
+        ServicePool(policy, RetryBudget(retries.ratio * SAFETY, capacity))
+    }
+
+    /** Hands a new snapshot to the policies. */
+    fun apply(view: HostView, now: Instant) {
+        if (view.catalog === applied?.catalog && view.directory === applied?.directory) return
+        applied = view
+        val catalog = view.catalog ?: return
+        catalog.services.forEach { (id, service) ->
+            val targets = view.directory.services[id] ?: persistentListOf()
+            pool(id).policy.onTargets(service, targets, now)
+        }
+    }
+
+    /** Starts or refuses what waits, as far as that can be decided now. */
+    fun poll(now: Instant) {
+        pools.values.forEach { pool ->
+            pool.policy.poll(now).forEach { pool.running[it.ticket]?.onSettled(it.decision) }
+        }
+    }
+
+    private companion object {
+        /** Hosts assumed while the others are not known yet. */
+        const val FEWEST_HOSTS = 8
+
+        /** Part of the shared ratio that is used, for requests that the bound does not count. */
+        const val SAFETY = 0.75
+    }
+}
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -0,0 +1,232 @@
+/** Brings the configuration and the targets of a host up to date. */
+package burdockspread.forward.news
+
+import arrow.core.Either
+import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.TargetDirectory
+import burdockspread.forward.host.Deployment
+import burdockspread.forward.host.HostView
+import burdockspread.store.KindSink
+import burdockspread.store.ListResult
+import burdockspread.store.ObjectKey
+import burdockspread.store.StoredObject
+import burdockspread.store.WatchEvent
+import burdockspread.time.TimeSource
+import burdockspread.wire.forward.NewsReply
+import burdockspread.wire.forward.NewsRequest
+import burdockspread.wire.forward.TargetNews
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Merges what the store and peers tell. To be used from the control loop; [view] may be read from
+ * any thread.
+ *
+ * Versions only rise, whoever brings them. While the store answers it is believed alone; when it
+ * is silent, turns the host away or ends its watches, [needsPeers] asks for news from peers.
+ */
+public class HostNews(
+    private val deployment: Deployment,
+    private val clock: TimeSource,
+    private val listener: NewsListener = NewsListener.NONE,
+) : KindSink {
+    private val directory = TargetDirectory()
+    private val stored = HashMap<String, StoredObject>()
+    private val contacts = HashMap<String, Contact>()
+    private var catalogText = ""
+    private val current = AtomicReference(HostView())
+    private var confirmedAt: Instant = Instant.DISTANT_PAST
+
+    /** The newest snapshot. */
+    public val view: HostView get() = current.get()
+
+    override fun onListed(kind: String, listed: ListResult.Listed) {
+        val now = heard(kind)
+        if (kind == deployment.targetKind) {
+            listed.objects.forEach(::keep)
+            directory.onListing(listed.objects.mapNotNull(deployment::target), listed.version, now)
+        } else {
+            listed.objects.firstOrNull { it.key == deployment.catalogKey }?.let(::onCatalog)
+        }
+        publish(now)
+    }
+
+    override fun onEvent(kind: String, event: WatchEvent) {
+        val now = heard(kind)
+        when (event) {
+            is WatchEvent.Put ->
+                if (kind == deployment.targetKind) onTarget(event.value) else onCatalog(event.value)
+            is WatchEvent.Deleted -> onDeleted(event, now)
+            is WatchEvent.Progress ->
+                if (kind == deployment.targetKind) directory.onProgress(event.version)
+            is WatchEvent.Ended -> Unit
+        }
+        publish(now)
+    }
+
+    override fun onLost(kind: String, reason: String) {
+        val contact = contacts.getOrPut(kind) { Contact() }
+        if (!contact.lost) listener.onStoreLost(kind, reason)
+        contact.lost = true
+        publish(clock.now())
+    }
+
+    /** Whether peers should be asked, because the store does not keep this host up to date. */
+    public fun needsPeers(now: Instant): Boolean {
+        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
+        return kinds.any { kind ->
+            val contact = contacts[kind]
+            contact == null || contact.lost || now - contact.heardAt > SILENCE
+        }
+    }
+
+    /** What this host asks of a peer. */
+    public fun request(host: String, address: String): NewsRequest = NewsRequest.newBuilder()
+        .setHost(host)
+        .setAddress(address)
+        .setCatalogVersion(view.catalog?.version ?: 0)
+        .setTargetsVersion(directory.version)
+        .build()
+
+    /** What this host knows beyond [request]. */
+    public fun reply(request: NewsRequest, peers: Collection<String>): NewsReply {
+        val reply = NewsReply.newBuilder().addAllPeers(peers)
+        reply.confirmed = !needsPeers(clock.now())
+        val version = view.catalog?.version ?: 0
+        reply.catalogVersion = version
+        if (version > request.catalogVersion) reply.catalog = catalogText
+        reply.targetsVersion = directory.version
+        if (directory.version > request.targetsVersion) {
+            directory.entries().mapNotNull { stored[it.id.value] }.forEach { reply.addTargets(news(it)) }
+        }
+        return reply.build()
+    }
+
+    /** Takes a peer's answer. [confirmed]: the peer itself is in touch with the store. */
+    public fun onReply(reply: NewsReply, confirmed: Boolean) {
+        val now = clock.now()
+        if (reply.catalog.isNotEmpty()) takeCatalog(reply.catalog, reply.catalogVersion, "peer")
+        if (reply.targetsCount > 0) {
+            val objects = reply.targetsList.map(::storedTarget)
+            objects.forEach(::keep)
+            directory.onListing(objects.mapNotNull(deployment::target), reply.targetsVersion, now)
+        }
+        if (confirmed) confirmedAt = now
+        publish(now)
+    }
+
+    /** Drops targets that stayed missing; to be called a few times a second. */
+    public fun tick() {
+        val now = clock.now()
+        directory.expire(now)
+        publish(now)
+    }
+
+    private fun heard(kind: String): Instant {
+        val now = clock.now()
+        val contact = contacts.getOrPut(kind) { Contact() }
+        if (contact.lost) {
+            contact.regainedAt = now
+            listener.onStoreRegained(kind)
+        }
+        contact.lost = false
+        contact.heardAt = now
+        return now
+    }
+
+    private fun onDeleted(event: WatchEvent.Deleted, now: Instant) {
+        if (event.key.kind != deployment.targetKind) return
+        val regained = contacts[event.key.kind]?.regainedAt
+        val id = burdockspread.id.TargetId(event.key.name)
+        directory.onRemoved(id, event.version, regained, now)
+        listener.onTargetGone(event.key.name, event.version)
+    }
+
+    private fun onTarget(value: StoredObject) {
+        keep(value)
+        val entry = deployment.target(value)
+        if (entry == null) directory.onProgress(value.version) else directory.onEntry(entry, value.version)
+        if (entry != null) listener.onTarget(entry, value.version)
+    }
+
+    private fun keep(value: StoredObject) {
+        val before = stored[value.key.name]
+        if (before == null || before.version <= value.version) stored[value.key.name] = value
+    }
+
+    private fun onCatalog(value: StoredObject) {
+        if (value.key == deployment.catalogKey) takeCatalog(value.value, value.version, "store")
+    }
+
+    private fun takeCatalog(text: String, storeVersion: Long, source: String) {
+        when (val read = deployment.catalog(text)) {
+            is Either.Left -> listener.onCatalogUnreadable(storeVersion, read.value)
+            is Either.Right -> {
+                val held = view.catalog?.version ?: -1
+                if (read.value.version <= held) return
+                catalogText = text
+                current.set(view.copy(catalog = read.value))
+                listener.onCatalog(read.value, source)
+            }
+        }
+    }
+
+    private fun publish(now: Instant) {
+        val contact = contacts[deployment.catalogKey.kind]
+        val direct = contact != null && !contact.lost && now - contact.heardAt <= SILENCE
+        val known = if (directory.version == view.directory.version) view.directory else null
+        val next = directory.view()
+        val same = known != null && known.services == next.services
+        val targets = if (same) view.directory else next
+        current.set(view.copy(directory = targets, current = direct || now - confirmedAt < CONFIRMED))
+    }
+
+    private fun news(value: StoredObject): TargetNews = TargetNews.newBuilder()
+        .setName(value.key.name)
+        .setEntry(value.value)
+        .setVersion(value.version)
+        .build()
+
+    private fun storedTarget(news: TargetNews): StoredObject =
+        StoredObject(ObjectKey(deployment.targetKind, news.name), news.version, "", news.entry)
+
+    private class Contact {
+        var lost = false
+        var heardAt: Instant = Instant.DISTANT_PAST
+        var regainedAt: Instant? = null
+    }
+
+    public companion object {
+        /** Longest wait of a watch; the store answers then even if nothing changed. */
+        public val WATCH_WAIT: Duration = 2_500.milliseconds
+
+        /** Time without an answer after which the store counts as silent: a watch and its way. */
+        private val SILENCE = WATCH_WAIT + 700.milliseconds
+
+        /** Time for which a peer's word on the configuration holds. */
+        private val CONFIRMED = 1.seconds
+    }
+}
+
+/** Observes changes of what the host believes. */
+public interface NewsListener {
+    public fun onCatalog(catalog: Catalog, source: String) {}
+
+    public fun onCatalogUnreadable(version: Long, reason: String) {}
+
+    public fun onTarget(entry: burdockspread.forward.directory.TargetEntry, version: Long) {}
+
+    public fun onTargetGone(name: String, version: Long) {}
+
+    public fun onStoreLost(kind: String, reason: String) {}
+
+    public fun onStoreRegained(kind: String) {}
+
+    public companion object {
+        /** Observes nothing. */
+        public val NONE: NewsListener = object : NewsListener {}
+    }
+}
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
@@ -2,6 +2,7 @@
 package burdockspread.settings
 
 import burdockspread.wire.settings.EntrySettings
+import burdockspread.wire.settings.ForwardSettings
 import burdockspread.wire.settings.HostSettings
 import burdockspread.wire.settings.StewardSettings
 import burdockspread.wire.settings.StoreSettings
@@ -74,3 +75,25 @@
     positive("journal.copyInterval", journal.copyInterval)
     positive("journal.keepFinished", journal.keepFinished)
 }
+
+/** Loader of the settings of `burdock-forward`. */
+public val forwardSettings: SettingsLoader<ForwardSettings> =
+    SettingsLoader(ForwardSettings.getDefaultInstance()) { settings ->
+        host(settings.host)
+        address("callerAddress", settings.callerAddress)
+        address("readyAddress", settings.readyAddress)
+        address("peerAddress", settings.peerAddress)
+        address("operatorAddress", settings.operatorAddress)
+        address("storeAddress", settings.storeAddress)
+        val ports = listOf(
+            settings.callerAddress,
+            settings.readyAddress,
+            settings.peerAddress,
+            settings.operatorAddress,
+        )
+        check("operatorAddress", ports.distinct() == ports, "each port needs an address of its own")
+        settings.seedPeersList.forEachIndexed { i, peer -> address("seedPeers[$i]", peer) }
+        check("retries.ratio", settings.retries.ratio in 0.0..1.0, "a number from 0 to 1 is needed")
+        check("retries.slack", settings.retries.slack >= 0, "a number from zero up is needed")
+        positive("stopGrace", settings.stopGrace)
+    }
