--- /dev/null
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
@@ -0,0 +1,102 @@
+package burdockspread.store
+
+import burdockspread.time.TimeSource
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class KindFollowerTest {
+    @Test
+    fun `a store that answers reads and ends watches at once is asked ever less often`() = runTest {
+        val store = ScriptedStore(watchLives = Duration.ZERO)
+        val follower = launch { follower(store, Sink()).run() }
+        delay(1.minutes)
+        follower.cancel()
+        assertTrue(store.calls <= 2 * 65, "${store.calls} calls in a minute")
+    }
+
+    @Test
+    fun `a store without answers is asked about once a second`() = runTest {
+        val store = ScriptedStore(listed = false)
+        val sink = Sink()
+        val follower = launch { follower(store, sink).run() }
+        delay(1.minutes)
+        follower.cancel()
+        assertTrue(store.calls in 55..65, "${store.calls} calls in a minute")
+        assertEquals(store.calls, sink.lost)
+    }
+
+    @Test
+    fun `after a watch that lived the list follows at once`() = runTest {
+        val store = ScriptedStore(watchLives = 10.seconds)
+        val follower = launch { follower(store, Sink()).run() }
+        delay(1.minutes)
+        follower.cancel()
+        assertTrue(store.calls in 10..13, "${store.calls} calls in a minute")
+    }
+
+    private fun TestScope.follower(store: ObjectStore, sink: KindSink): KindFollower {
+        val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
+        return KindFollower("things", store, sink, clock)
+    }
+
+    private class Sink : KindSink {
+        var lost = 0
+
+        override fun onListed(kind: String, listed: ListResult.Listed) = Unit
+
+        override fun onEvent(kind: String, event: WatchEvent) = Unit
+
+        override fun onLost(kind: String, reason: String) {
+            lost++
+        }
+    }
+
+    private class ScriptedStore(
+        private val listed: Boolean = true,
+        private val watchLives: Duration = Duration.ZERO,
+    ) : ObjectStore {
+        var calls = 0
+
+        override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
+
+        override suspend fun list(kind: String): ListResult {
+            calls++
+            if (!listed) return ListResult.Unavailable("away")
+            return ListResult.Listed(persistentListOf(), 1)
+        }
+
+        override suspend fun put(
+            key: ObjectKey,
+            value: String,
+            condition: WriteCondition,
+            writeId: String,
+        ): WriteResult = WriteResult.Conflict
+
+        override suspend fun delete(
+            key: ObjectKey,
+            condition: WriteCondition.AtVersion,
+        ): WriteResult = WriteResult.Conflict
+
+        override fun watch(kind: String, version: Long): Flow<WatchEvent> = flow {
+            calls++
+            if (watchLives > Duration.ZERO) {
+                delay(watchLives)
+                emit(WatchEvent.Progress(version))
+            }
+            emit(WatchEvent.Ended("turned away"))
+        }
+    }
+}
--- a/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
+++ b/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
@@ -13,7 +13,9 @@
 import burdockspread.store.ReadResult
 import burdockspread.store.WatchEvent
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableSharedFlow
+import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.flow.merge
 import kotlinx.coroutines.launch
@@ -47,6 +49,17 @@
         assertEquals(listOf("root", "priorities"), published.map { it.section })
     }
 
+    @Test
+    fun `a store that answers reads and turns watches away is asked ever less often`() = runTest {
+        fixture.start()
+        val store = TurningAwayStore(fixture.store)
+        val relay = launch { relay(0, store, DocumentHolder(), ArrayList()).run() }
+        delay(60.seconds)
+        relay.cancel()
+        // One read and one watch per round; rounds are up to 4 s apart, and 2 s on average.
+        assertTrue(store.calls < 2 * 60, "${store.calls} calls in a minute")
+    }
+
     @Test
     fun `after an outage relays read only what changed and not all at once`() = runTest {
         fixture.start(Documents.priorities("fast"))
@@ -120,6 +133,20 @@
     private companion object {
         const val RELAYS = 76
     }
+
+    private class TurningAwayStore(private val store: ObjectStore) : ObjectStore by store {
+        var calls = 0
+
+        override suspend fun get(key: ObjectKey): ReadResult {
+            calls++
+            return store.get(key)
+        }
+
+        override fun watch(kind: String, version: Long): Flow<WatchEvent> = flow {
+            calls++
+            emit(WatchEvent.Ended("turned away"))
+        }
+    }
 }
 
 /** A store whose watches end and whose reads fail during an outage. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -16,6 +16,7 @@
  * Merges news of targets. Not thread-safe; [view] returns immutable snapshots.
  *
  * Leaving beats live within one incarnation, and an older incarnation never replaces a newer one.
+ * A target that started later at the same address proves that the earlier one is gone.
  * Entries lapse while the store is away although their targets live; so what a listing after an
  * outage lacks is kept as doubtful for [regainGrace] and is gone only then.
  */
@@ -60,7 +61,9 @@
 
     /** Drops what has been missing for [regainGrace]; true if that changed the directory. */
     public fun expire(now: Instant): Boolean {
-        val gone = held.values.filter { it.doubtSince != null && now - it.doubtSince >= regainGrace }
+        val gone = held.values.filter {
+            it.doubtSince != null && now - it.doubtSince >= regainGrace
+        }
         gone.forEach { held = held.remove(it.entry.id) }
         return gone.isNotEmpty()
     }
@@ -72,13 +75,24 @@
     /** The targets that may get new work, by service. */
     public fun view(): DirectoryView {
         val usable = held.values.filterNot { it.entry.leaving }
-        val services = usable.groupBy({ it.entry.service }, { Listed(it.entry, it.doubtSince != null) })
-        return DirectoryView(version, services.mapValues { it.value.toImmutableList() }.toImmutableMap())
+        val services = usable.groupBy({
+            it.entry.service
+        }, { Listed(it.entry, it.doubtSince != null) })
+        return DirectoryView(
+            version,
+            services.mapValues {
+                it.value.toImmutableList()
+            }.toImmutableMap(),
+        )
     }
 
     private fun merge(entry: TargetEntry) {
         val before = held[entry.id]?.entry
         if (before != null && before.bornMillis > entry.bornMillis) return
+        held.values.map { it.entry }
+            .filter { it.address == entry.address && it.id != entry.id }
+            .filter { it.bornMillis < entry.bornMillis }
+            .forEach { held = held.remove(it.id) }
         val leaving = entry.leaving || (before?.sameIncarnation(entry) == true && before.leaving)
         held = held.put(entry.id, Held(entry.copy(leaving = leaving), null))
     }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -8,7 +8,6 @@
 /** State of the current attempt. */
 internal class Attempt(val number: Int, val target: TargetEntry, sentAt: Instant) {
     var heardAt: Instant = sentAt
-    var eventAt: Instant = sentAt
     var probedAt: Instant = sentAt
     var head: AnswerHead? = null
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -136,6 +136,15 @@
         now: Instant,
     ) {}
 
+    /** A stream goes on at another target, [pause] after the event before. */
+    public fun onResumed(
+        call: Call,
+        attempt: Int,
+        target: TargetEntry,
+        pause: Duration,
+        now: Instant,
+    ) {}
+
     /** The caller got an answer of a target as a whole. */
     public fun onAnswered(call: Call, status: Int, attempts: Int, now: Instant) {}
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -26,16 +26,20 @@
     private val options: ExchangeOptions,
 ) : Exchange {
     private val kind = call.route.kind
-    private val cutter = EventCutter(call.resumeAfter)
-    private var effects = persistentListOf<ExchangeEffect>()
+    private val outlet = Outlet(call, listener)
     private var avoid = persistentSetOf<TargetId>()
     private var current: Attempt? = null
     private var waiting = false
 
-    /** Attempts made, and those of them whose request may have reached a target that ran it. */
     private var attempts = 0
+
+    /** Attempts whose request reached the target that it was meant for; the route bounds them. */
+    private var reached = 0
+
+    /** Attempts that may have run. */
     private var delivered = 0
-    private var begun = false
+
+    private var lastEventAt = call.receivedAt
 
     /** Target that keeps a copy of the memory of the last run, until it has been tried. */
     private var copyHolder: TargetEntry? = null
@@ -43,8 +47,7 @@
     /** A target's own failure, passed on when nothing better comes. */
     private var failure: HeldAnswer? = null
 
-    override var ended: Boolean = false
-        private set
+    override val ended: Boolean get() = outlet.ended
 
     override val wakeAt: Instant
         get() {
@@ -88,9 +91,9 @@
         if (run.foreign) return@ofCurrent
         val head = run.head ?: return@ofCurrent
         if (run.streams) {
-            pass(head, cutter.feed(bytes), run, now)
+            pass(run, head, bytes, now)
         } else if (run.passing) {
-            emit(ExchangeEffect.Body(bytes))
+            outlet.pass(head, bytes)
         } else {
             run.held.write(bytes)
             if (run.held.size() > options.heldBytes && head.isOurs()) passOn(run, head)
@@ -108,13 +111,11 @@
         }
         val head = run.head ?: return@ofCurrent
         emit(ExchangeEffect.Release(run.number, reusable && !run.tainted))
-        when {
-            run.streams -> {
-                pass(head, cutter.finish(), run, now)
-                complete(run, head, now)
-            }
-            run.passing -> complete(run, head, now)
-            else -> judge(run, head, now)
+        if (run.streams || run.passing) {
+            leave(run, outcomeOf(head), "status ${head.status}", now)
+            outlet.finish(head, attempts, now)
+        } else {
+            judge(run, head, now)
         }
     }
 
@@ -125,6 +126,7 @@
     ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
         val outcome =
             if (failure == AttemptFailure.NOT_CONNECTED) {
+                reached--
                 delivered--
                 FlightOutcome.UNREACHABLE
             } else {
@@ -146,8 +148,7 @@
 
     override fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect> = step {
         cancelRun(now)
-        ended = true
-        listener.onCallerGone(call, attempts, now)
+        outlet.onCallerGone(attempts, now)
     }
 
     override fun onTimer(now: Instant, late: Duration): ImmutableList<ExchangeEffect> = step {
@@ -199,6 +200,7 @@
 
     private fun send(placed: Decision.Placed, now: Instant) {
         attempts++
+        reached++
         delivered++
         val fromCopy = copyHolder?.takeIf { it.id == placed.target.id }
         copyHolder = placed.copyTo
@@ -208,7 +210,7 @@
             attempt = run.number,
             target = placed.target,
             remaining = call.deadline - now,
-            resumeAfter = cutter.lastId,
+            resumeAfter = outlet.lastEventId,
             copyAt = fromCopy?.address,
             copyTo = placed.copyTo,
         )
@@ -240,6 +242,7 @@
             head.notRun -> {
                 delivered--
                 val replaced = head.status == MISDIRECTED
+                if (replaced) reached--
                 val outcome = if (replaced) FlightOutcome.REPLACED else FlightOutcome.SHED
                 fail(run, outcome, "not run, status ${head.status}", now)
             }
@@ -250,7 +253,7 @@
             }
             else -> {
                 leave(run, outcomeOf(head), "status ${head.status}", now)
-                deliver(answer, now)
+                outlet.deliver(answer, attempts, now)
             }
         }
     }
@@ -259,16 +262,15 @@
     private fun fail(run: Attempt, outcome: FlightOutcome, detail: String, now: Instant) {
         leave(run, outcome, detail, now)
         avoid = avoid.add(run.target.id)
-        if (!run.streams && !begun) copyHolder = null
-        if (run.passing) return breakOff("the answer ended early: $detail", now)
-        cutter.restart()
+        if (run.passing) return outlet.breakOff("the answer ended early: $detail", attempts, now)
+        outlet.restart()
         if (!mayRetry(outcome, now)) return giveUp(exhausted(outcome, detail), now)
         seek(now)
     }
 
     private fun mayRetry(outcome: FlightOutcome, now: Instant): Boolean {
         if (!kind.repeatable && delivered > 0) return false
-        if (delivered >= call.route.maxAttempts || attempts >= MOST_SENDS) return false
+        if (reached >= call.route.maxAttempts || attempts >= MOST_SENDS) return false
         if (call.deadline - now < SHORTEST_TRY) return false
         return outcome == FlightOutcome.UNREACHABLE || budget.tryTake()
     }
@@ -290,9 +292,9 @@
 
     /** Ends with [refusal], with a target's own failure, or by breaking off what has begun. */
     private fun giveUp(refusal: Refusal, now: Instant) {
-        if (begun) return breakOff(refusal.detail, now)
+        if (outlet.begun) return outlet.breakOff(refusal.detail, attempts, now)
         val held = failure
-        if (held != null) return deliver(held, now)
+        if (held != null) return outlet.deliver(held, attempts, now)
         val truthful =
             if (delivered > 0 && refusal.code.httpStatus in NOT_RUN_STATUSES) {
                 val code = if (kind.repeatable) ErrorCode.CALL_FAILED else ErrorCode.OUTCOME_UNKNOWN
@@ -300,15 +302,7 @@
             } else {
                 refusal
             }
-        ended = true
-        listener.onRefused(call, truthful, attempts, now)
-        emit(ExchangeEffect.Refuse(truthful))
-    }
-
-    private fun breakOff(reason: String, now: Instant) {
-        ended = true
-        listener.onBrokenOff(call, reason, attempts, now)
-        emit(ExchangeEffect.BreakOff)
+        outlet.refuse(truthful, attempts, now)
     }
 
     private fun cancelRun(now: Instant) {
@@ -319,40 +313,21 @@
         leave(run, FlightOutcome.CANCELLED, "cancelled", now)
     }
 
-    private fun pass(head: AnswerHead, bytes: ByteArray, run: Attempt, now: Instant) {
-        if (bytes.isEmpty()) return
-        if (!begun) emit(ExchangeEffect.Begin(head, null))
-        begun = true
-        run.events++
-        run.eventAt = now
-        emit(ExchangeEffect.Body(bytes))
+    private fun pass(run: Attempt, head: AnswerHead, bytes: ByteArray, now: Instant) {
+        if (!outlet.passEvents(head, bytes)) return
+        if (run.events++ == 0 && run.number > 1) {
+            listener.onResumed(call, run.number, run.target, now - lastEventAt, now)
+        }
+        lastEventAt = now
     }
 
     /** Starts to pass an answer on that is too large to be held. */
     private fun passOn(run: Attempt, head: AnswerHead) {
         run.passing = true
-        begun = true
-        emit(ExchangeEffect.Begin(head, null))
-        emit(ExchangeEffect.Body(run.held.toByteArray()))
+        outlet.pass(head, run.held.toByteArray())
         run.held.reset()
     }
 
-    private fun complete(run: Attempt, head: AnswerHead, now: Instant) {
-        leave(run, outcomeOf(head), "status ${head.status}", now)
-        if (!begun) emit(ExchangeEffect.Begin(head, 0))
-        ended = true
-        listener.onAnswered(call, head.status, attempts, now)
-        emit(ExchangeEffect.End)
-    }
-
-    private fun deliver(answer: HeldAnswer, now: Instant) {
-        ended = true
-        listener.onAnswered(call, answer.head.status, attempts, now)
-        emit(ExchangeEffect.Begin(answer.head, answer.body.size))
-        if (answer.body.isNotEmpty()) emit(ExchangeEffect.Body(answer.body))
-        emit(ExchangeEffect.End)
-    }
-
     private fun leave(run: Attempt, outcome: FlightOutcome, detail: String, now: Instant) {
         current = null
         policy.flights().onEnded(call.ticket, outcome, now)
@@ -367,14 +342,12 @@
     private fun refusal(code: ErrorCode, detail: String, retryAfter: Duration?): Refusal =
         Refusal(code, detail, retryAfter)
 
-    private fun emit(effect: ExchangeEffect) {
-        effects = effects.add(effect)
-    }
+    private fun emit(effect: ExchangeEffect): Unit = outlet.emit(effect)
 
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (ended) return persistentListOf()
         block()
-        return effects.also { effects = persistentListOf() }
+        return outlet.takeEffects()
     }
 
     private inline fun ofCurrent(
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -5,7 +5,6 @@
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.Service
 import burdockspread.forward.directory.Listed
-import burdockspread.forward.directory.TargetEntry
 import burdockspread.id.FailureDomainId
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
@@ -100,10 +99,12 @@
     private fun choose(demand: Demand, now: Instant): TargetLoad? {
         val preferred = demand.prefer?.let { targets[it] }
         if (preferred != null && !preferred.paused(now)) return preferred
-        val open = targets.values.filter { it.entry.id !in demand.avoid && hasRoom(it, demand, now) }
+        val open = targets.values.filter {
+            it.entry.id !in demand.avoid && hasRoom(it, demand, now)
+        }
         val calm = open.filterNot { it.paused(now) || it.doubtful }
         val last = { open.filterNot { it.paused(now) }.ifEmpty { lastResort(demand) } }
-        return calm.ifEmpty(last).minByOrNull { score(it, demand, now) }
+        return calm.ifEmpty(last).minByOrNull { score(it, now) }
     }
 
     /** Targets that failed this request or do not answer, when the pool has nothing else. */
@@ -113,11 +114,14 @@
     /** Another target for the copy, in another failure domain where there is one. */
     private fun copyTarget(demand: Demand, run: TargetLoad, now: Instant): TargetLoad? {
         val open = targets.values.filter {
-            it !== run && it.entry.id !in demand.avoid && !it.doubtful && !it.paused(now) &&
+            it !== run &&
+                it.entry.id !in demand.avoid &&
+                !it.doubtful &&
+                !it.paused(now) &&
                 hasRoom(it, demand, now)
         }
         val apart = open.filter { it.entry.failureDomain != run.entry.failureDomain }
-        return apart.ifEmpty { open }.minByOrNull { score(it, demand, now) }
+        return apart.ifEmpty { open }.minByOrNull { score(it, now) }
     }
 
     private fun hasRoom(target: TargetLoad, demand: Demand, now: Instant): Boolean {
@@ -130,7 +134,7 @@
         return target.own + others < engine.slots && used + tokens <= room
     }
 
-    private fun score(target: TargetLoad, demand: Demand, now: Instant): Double {
+    private fun score(target: TargetLoad, now: Instant): Double {
         val far = if (target.entry.failureDomain == ownDomain) 0.0 else options.crossDomainScore
         val load = target.own + target.others(now, fade())
         val reading = target.unreadTokens / READING_TOKENS
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/WaitingQueue.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/WaitingQueue.kt
@@ -16,7 +16,8 @@
     fun remove(ticket: Long): Boolean = waiting.remove(ticket) != null
 
     /** Whether nothing that waits comes before [demand]. */
-    fun mayOvertake(demand: Demand): Boolean = waiting.values.none { ORDER.compare(it, demand) <= 0 }
+    fun mayOvertake(demand: Demand): Boolean =
+        waiting.values.none { ORDER.compare(it, demand) <= 0 }
 
     /** Takes out the demands whose wait is over. */
     fun expired(now: Instant): List<Demand> {
--- /dev/null
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
@@ -0,0 +1,69 @@
+package burdockspread.forward.directory
+
+import burdockspread.forward.Fixture
+import burdockspread.id.TargetId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class TargetDirectoryTest {
+    private val now = Fixture.START
+    private val directory = TargetDirectory()
+
+    @Test
+    fun `a leaving target gets no new work and stays leaving within its incarnation`() {
+        directory.onListing(listOf(Fixture.target("a"), Fixture.target("b")), 5, now)
+        directory.onEntry(Fixture.target("a", leaving = true), 6)
+        directory.onEntry(Fixture.target("a"), 7)
+        assertEquals(listOf("b"), usable())
+    }
+
+    @Test
+    fun `a target that is born again is usable again`() {
+        directory.onListing(listOf(Fixture.target("a", leaving = true, born = 1)), 5, now)
+        directory.onEntry(Fixture.target("a", born = 2), 6)
+        assertEquals(listOf("a"), usable())
+    }
+
+    @Test
+    fun `a late report of an earlier incarnation changes nothing`() {
+        directory.onListing(listOf(Fixture.target("a", born = 2)), 5, now)
+        directory.onEntry(Fixture.target("a", born = 1, leaving = true), 6)
+        assertEquals(listOf("a"), usable())
+    }
+
+    @Test
+    fun `an older listing is ignored`() {
+        directory.onListing(listOf(Fixture.target("a")), 5, now)
+        directory.onListing(emptyList(), 4, now)
+        assertEquals(listOf("a"), usable())
+    }
+
+    @Test
+    fun `what a listing lacks is doubtful first and gone after the grace`() {
+        directory.onListing(listOf(Fixture.target("a")), 5, now)
+        directory.onListing(emptyList(), 6, now)
+        assertTrue(directory.view().services.values.flatten().single().doubtful)
+        directory.expire(now + 2.seconds)
+        assertEquals(emptyList(), usable())
+    }
+
+    @Test
+    fun `a removal counts at once unless the store has just come back`() {
+        directory.onListing(listOf(Fixture.target("a"), Fixture.target("b")), 5, now)
+        directory.onRemoved(TargetId("a"), 6, null, now)
+        directory.onRemoved(TargetId("b"), 7, regainedAt = now - 1.seconds, now)
+        assertEquals(listOf("b"), usable())
+    }
+
+    @Test
+    fun `a later target at the same address replaces the earlier one`() {
+        directory.onListing(listOf(Fixture.target("a", address = "10.0.0.9:80", born = 1)), 5, now)
+        directory.onEntry(Fixture.target("b", address = "10.0.0.9:80", born = 2), 6)
+        assertEquals(listOf("b"), usable())
+    }
+
+    private fun usable() =
+        directory.view().services.values.flatten().map { it.entry.id.value }.sorted()
+}
--- /dev/null
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/GatekeeperTest.kt
@@ -0,0 +1,59 @@
+package burdockspread.forward.exchange
+
+import burdockspread.error.ErrorCode
+import burdockspread.forward.Fixture
+import burdockspread.forward.catalog.CallKind
+import burdockspread.forward.catalog.Catalog
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class GatekeeperTest {
+    private val gatekeeper = Gatekeeper(1)
+    private val catalog = Fixture.catalog(1, Fixture.route(CallKind.IDEMPOTENT))
+
+    @Test
+    fun `an unknown path, host or key is refused by a host that is up to date`() {
+        assertEquals(ErrorCode.UNKNOWN_PATH, code(fields(path = "/b/c")))
+        assertEquals(ErrorCode.UNKNOWN_PATH, code(fields(host = "two.example")))
+        assertEquals(ErrorCode.UNAUTHENTICATED, code(fields(key = "stolen")))
+        assertEquals(ErrorCode.UNAUTHENTICATED, code(fields(key = null)))
+    }
+
+    @Test
+    fun `a host without configuration, or with one that may be old, does not know`() {
+        assertEquals(ErrorCode.NO_DOCUMENT, code(fields(), catalog = null))
+        assertEquals(ErrorCode.NO_DOCUMENT, code(fields(path = "/b/c"), current = false))
+        assertEquals(ErrorCode.NO_DOCUMENT, code(fields(key = "new"), current = false))
+    }
+
+    @Test
+    fun `the deadline is the earlier of the caller's and the route's`() {
+        val start = Fixture.START
+        assertEquals(start + 2.seconds, call(fields(patience = 2)).deadline)
+        assertEquals(start + 25.seconds, call(fields(patience = 90)).deadline)
+    }
+
+    @Test
+    fun `the organisation's priority goes before the route's`() {
+        val call = call(fields())
+        assertEquals("barbers", call.organisation?.value)
+        assertEquals(3, call.priority)
+    }
+
+    private fun fields(
+        host: String = "one.example",
+        path: String = "/a/x",
+        key: String? = "key-1",
+        patience: Int = 5,
+    ) = CallerFields(host, path, "id-1", key, patience.seconds, null, null)
+
+    private fun code(
+        fields: CallerFields,
+        catalog: Catalog? = this.catalog,
+        current: Boolean = true,
+    ) = gatekeeper.admit(fields, catalog, current, Fixture.START).leftOrNull()?.code
+
+    private fun call(fields: CallerFields) =
+        checkNotNull(gatekeeper.admit(fields, catalog, true, Fixture.START).getOrNull())
+}
--- /dev/null
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -0,0 +1,139 @@
+package burdockspread.forward.load
+
+import burdockspread.error.ErrorCode
+import burdockspread.forward.Fixture
+import burdockspread.forward.catalog.Service
+import burdockspread.forward.directory.Listed
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.id.FailureDomainId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LoadPolicyTest {
+    private val now = Fixture.START
+
+    @Test
+    fun `work spreads over the runners and a copy goes to another failure domain`() {
+        val policy = engines("n1" to "north", "n2" to "north", "s1" to "south", "s2" to "south")
+        val placed = (1L..8L).map { assertIs<Decision.Placed>(policy.submit(run(it), now)) }
+        assertEquals(4, placed.map { it.target.id }.toSet().size)
+        placed.forEach { assertNotEquals(it.target.failureDomain, it.copyTo?.failureDomain) }
+    }
+
+    @Test
+    fun `a runner is not sent more than its memory holds`() {
+        val policy = engines("n1" to "north")
+        val decisions = (1L..12L).map { policy.submit(run(it), now) }
+        assertEquals(8, decisions.count { it is Decision.Placed })
+        assertEquals(4, decisions.count { it is Decision.Waiting })
+    }
+
+    @Test
+    fun `room that becomes free goes to a resume first`() {
+        val policy = engines("n1" to "north")
+        (1L..8L).forEach { policy.submit(run(it), now) }
+        policy.submit(run(9), now)
+        policy.submit(run(10).copy(resume = true), now)
+        policy.flights().onEnded(1, FlightOutcome.DONE, now)
+        val settled = policy.poll(now)
+        assertEquals(listOf(10L), settled.map { it.ticket })
+    }
+
+    @Test
+    fun `who has waited long enough is refused as not run with a time to come back`() {
+        val policy = engines("n1" to "north")
+        (1L..8L).forEach { policy.submit(run(it), now) }
+        policy.submit(run(9), now)
+        val settled = policy.poll(now + 1.seconds).single()
+        val refusal = assertIs<Decision.Refused>(settled.decision).refusal
+        assertEquals(ErrorCode.OVERLOADED, refusal.code)
+        assertTrue(checkNotNull(refusal.retryAfter) > 1.seconds)
+    }
+
+    @Test
+    fun `a target that does not answer connections is left alone for a while`() {
+        val policy = plain("a", "b")
+        val first = assertIs<Decision.Placed>(policy.submit(call(1), now)).target
+        policy.flights().onEnded(1, FlightOutcome.UNREACHABLE, now)
+        repeat(20) { i ->
+            val next = assertIs<Decision.Placed>(policy.submit(call(i + 2L), now)).target
+            assertNotEquals(first.id, next.id)
+            policy.flights().onEnded(i + 2L, FlightOutcome.DONE, now)
+        }
+    }
+
+    @Test
+    fun `a target that fails much more than its pool gets little`() {
+        val policy = plain("a", "b", "c")
+        var ticket = 0L
+        val sent = HashMap<TargetId, Int>()
+        repeat(300) {
+            val target = assertIs<Decision.Placed>(policy.submit(call(++ticket), now)).target
+            sent.merge(target.id, 1, Int::plus)
+            val bad = target.id.value == "a"
+            policy.flights().onEnded(
+                ticket,
+                if (bad) FlightOutcome.FAILED else FlightOutcome.DONE,
+                now,
+            )
+        }
+        assertTrue(checkNotNull(sent[TargetId("a")]) < 30, "$sent")
+    }
+
+    @Test
+    fun `load that a target reports of other hosts counts`() {
+        val policy = plain("a", "b")
+        val first = assertIs<Decision.Placed>(policy.submit(call(1), now)).target
+        policy.flights().onHead(1, ReportedLoad(running = 6, waiting = 4, slots = 6), now)
+        policy.flights().onEnded(1, FlightOutcome.DONE, now)
+        val next = assertIs<Decision.Placed>(policy.submit(call(2), now)).target
+        assertNotEquals(first.id, next.id)
+    }
+
+    @Test
+    fun `the holder of a copy is preferred and failed targets are avoided`() {
+        val policy = engines("n1" to "north", "n2" to "north", "s1" to "south")
+        val demand = run(1).copy(prefer = TargetId("s1"), avoid = persistentSetOf(TargetId("n1")))
+        assertEquals("s1", assertIs<Decision.Placed>(policy.submit(demand, now)).target.id.value)
+        val avoiding = run(2).copy(avoid = persistentSetOf(TargetId("n1"), TargetId("s1")))
+        assertEquals("n2", assertIs<Decision.Placed>(policy.submit(avoiding, now)).target.id.value)
+    }
+
+    @Test
+    fun `without any target a request is refused at once`() {
+        val policy = plain()
+        val refused = assertIs<Decision.Refused>(policy.submit(call(1), now))
+        assertEquals(ErrorCode.NO_TARGET, refused.refusal.code)
+    }
+
+    private fun run(ticket: Long) = Demand(
+        ticket,
+        promptTokens = 5_000,
+        outputTokens = 1_000,
+        waitUntil = now + 500.milliseconds,
+        wantsCopy = true,
+    )
+
+    private fun call(ticket: Long) = Demand(ticket, waitUntil = now + 100.milliseconds)
+
+    private fun engines(vararg targets: Pair<String, String>) = policy(
+        Fixture.engineService(),
+        targets.map { (name, domain) -> Fixture.target(name, domain = domain) },
+    )
+
+    private fun plain(vararg names: String) =
+        policy(Fixture.plainService(), names.map { Fixture.target(it, Fixture.DESK) })
+
+    private fun policy(service: Service, targets: List<TargetEntry>): LoadPolicy =
+        LoadPolicy.factory().create(FailureDomainId("north"), 7).apply {
+            onTargets(service, targets.map { Listed(it, false) }.toImmutableList(), now)
+        }
+}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -24,7 +24,6 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Runs the forwarder of one host on the platform described by [deployment]. */
 public class ForwardHost(
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -11,6 +11,7 @@
 import burdockspread.forward.news.NewsListener
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Writes the lines; `event` names the decision, `request` the caller's id. */
@@ -47,6 +48,18 @@
             .info()
     }
 
+    override fun onResumed(
+        call: Call,
+        attempt: Int,
+        target: TargetEntry,
+        pause: Duration,
+        now: Instant,
+    ): Unit = line(call, "goes_on", now)
+        .with("attempt", attempt.toString())
+        .with("target", target.id.value)
+        .with("pause_ms", pause.inWholeMilliseconds.toString())
+        .info()
+
     override fun onAnswered(call: Call, status: Int, attempts: Int, now: Instant): Unit =
         line(call, "answered", now)
             .with("status", status.toString())
@@ -109,8 +122,7 @@
         .with("detail", refusal.detail)
         .info()
 
-    fun onProcess(event: String, detail: String): Unit =
-        news(event).with("detail", detail).info()
+    fun onProcess(event: String, detail: String): Unit = news(event).with("detail", detail).info()
 
     private fun line(call: Call, event: String, now: Instant): StringMapMessage =
         StringMapMessage(CAPACITY)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -47,7 +47,12 @@
             }
         }
         val written = resolving.put(key, value, condition, "$name-$address")
-        if (written !is ResolvedWrite.Written) log.warn("the host is not registered yet: {}", written)
+        if (written !is ResolvedWrite.Written) {
+            log.warn(
+                "the host is not registered yet: {}",
+                written,
+            )
+        }
         return written is ResolvedWrite.Written
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -59,7 +59,12 @@
 
     /** Begins to serve the connections that are accepted. */
     fun start() {
-        transport.requests.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        transport.requests.scheduleAtFixedRate(
+            ::tick,
+            TICK_MILLIS,
+            TICK_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     fun onConnection(channel: SocketChannel) {
@@ -141,7 +146,12 @@
     private fun probe(address: String, onResult: (Boolean) -> Unit) {
         val path = deployment.dialect.probePath
         val request =
-            DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER)
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.GET,
+                path,
+                Unpooled.EMPTY_BUFFER,
+            )
         request.headers()["Host"] = address
         ProbeRun(targets, transport.requests, onResult).start(address, request)
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -7,9 +7,9 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withContext
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import kotlin.coroutines.resume
@@ -40,13 +40,10 @@
     private val dispatcher = loop.asCoroutineDispatcher()
 
     /** Calls [address] and waits for at most [timeout]. */
-    public suspend fun call(
-        address: String,
-        request: CallRequest,
-        timeout: Duration,
-    ): CallResult = withContext(dispatcher) {
-        withTimeoutOrNull(timeout) { exchange(address, request) } ?: CallResult.NoAnswer
-    }
+    public suspend fun call(address: String, request: CallRequest, timeout: Duration): CallResult =
+        withContext(dispatcher) {
+            withTimeoutOrNull(timeout) { exchange(address, request) } ?: CallResult.NoAnswer
+        }
 
     private suspend fun exchange(address: String, request: CallRequest): CallResult =
         suspendCancellableCoroutine { waiting ->
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -82,7 +82,11 @@
 
     /** Ends the loops. */
     public fun close() {
-        group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS)
+        group.shutdownGracefully(
+            0,
+            CLOSE_TIMEOUT_MILLIS,
+            java.util.concurrent.TimeUnit.MILLISECONDS,
+        )
     }
 
     private fun initializer(onConnection: (SocketChannel) -> Unit) =
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -100,7 +100,9 @@
         if (version > request.catalogVersion) reply.catalog = catalogText
         reply.targetsVersion = directory.version
         if (directory.version > request.targetsVersion) {
-            directory.entries().mapNotNull { stored[it.id.value] }.forEach { reply.addTargets(news(it)) }
+            directory.entries().mapNotNull {
+                stored[it.id.value]
+            }.forEach { reply.addTargets(news(it)) }
         }
         return reply.build()
     }
@@ -148,7 +150,13 @@
     private fun onTarget(value: StoredObject) {
         keep(value)
         val entry = deployment.target(value)
-        if (entry == null) directory.onProgress(value.version) else directory.onEntry(entry, value.version)
+        if (entry ==
+            null
+        ) {
+            directory.onProgress(value.version)
+        } else {
+            directory.onEntry(entry, value.version)
+        }
         if (entry != null) listener.onTarget(entry, value.version)
     }
 
@@ -181,7 +189,9 @@
         val next = directory.view()
         val same = known != null && known.services == next.services
         val targets = if (same) view.directory else next
-        current.set(view.copy(directory = targets, current = direct || now - confirmedAt < CONFIRMED))
+        current.set(
+            view.copy(directory = targets, current = direct || now - confirmedAt < CONFIRMED),
+        )
     }
 
     private fun news(value: StoredObject): TargetNews = TargetNews.newBuilder()
