Ask copies only of runs that began; doubt a whole failure domain; batch watch answers

A run broken in its prefill was read anew although its copy held most of it. Each change of the targets cost a call of its own. Ruled out: resume itself; pauses were 25-52 ms after a crash and 391-461 ms after silence. Change: a copy is kept in mind only of attempts that may have run, also before the first event; a silent target casts doubt on its failure domain until others there are heard; connect limit 250 ms; 200 ms between a change and the next watch.

--- a/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
@@ -14,7 +14,8 @@
  * A watch that ends at once counts as a failure like a list without an answer: a store that
  * answers reads and turns watches away is asked ever less often.
  *
- * @param listing reads the kind; hosts that may read old data pass a cheaper read.
+ * Every answer of a watch is a call that is paid for, so after a change it is left for [batching]
+ * to let more changes gather.
  */
 public class KindFollower(
     private val kind: String,
@@ -22,6 +23,7 @@
     private val sink: KindSink,
     private val clock: TimeSource,
     private val backoff: Backoff = Backoff(),
+    private val batching: Duration = BATCHING,
 ) {
     /** Runs until it is cancelled. */
     public suspend fun run() {
@@ -41,6 +43,7 @@
         val start = clock.now()
         var last = start
         var reason = ""
+        var changed = false
         store.watch(kind, listed.version)
             .takeWhile { event ->
                 if (event is WatchEvent.Ended) reason = event.reason
@@ -49,6 +52,8 @@
             .collect { event ->
                 last = clock.now()
                 sink.onEvent(kind, event)
+                if (event is WatchEvent.Progress && changed) delay(batching)
+                changed = event !is WatchEvent.Progress
             }
         sink.onLost(kind, reason)
         return last - start
@@ -57,6 +62,9 @@
     private companion object {
         /** A watch that gave answers for this long was no failure. */
         val HEALTHY_WATCH = 2.seconds
+
+        /** A tenth of the two seconds in which an edit has to be in force. */
+        val BATCHING = 200.milliseconds
     }
 }
 
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
@@ -13,6 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -47,6 +48,15 @@
         assertTrue(store.calls in 10..13, "${store.calls} calls in a minute")
     }
 
+    @Test
+    fun `changes in quick succession cost few answers of the watch`() = runTest {
+        val store = ScriptedStore(changes = true)
+        val follower = launch { follower(store, Sink()).run() }
+        delay(10.seconds)
+        follower.cancel()
+        assertTrue(store.answers in 40..50, "${store.answers} answers in ten seconds")
+    }
+
     private fun TestScope.follower(store: ObjectStore, sink: KindSink): KindFollower {
         val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
         return KindFollower("things", store, sink, clock)
@@ -67,8 +77,10 @@
     private class ScriptedStore(
         private val listed: Boolean = true,
         private val watchLives: Duration = Duration.ZERO,
+        private val changes: Boolean = false,
     ) : ObjectStore {
         var calls = 0
+        var answers = 0
 
         override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
 
@@ -96,6 +108,11 @@
                 delay(watchLives)
                 emit(WatchEvent.Progress(version))
             }
+            while (changes) {
+                delay(10.milliseconds)
+                emit(WatchEvent.Deleted(ObjectKey(kind, "one"), ++answers + version))
+                emit(WatchEvent.Progress(answers + version))
+            }
             emit(WatchEvent.Ended("turned away"))
         }
     }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -6,7 +6,12 @@
 import kotlin.time.Instant
 
 /** State of the current attempt. */
-internal class Attempt(val number: Int, val target: TargetEntry, sentAt: Instant) {
+internal class Attempt(
+    val number: Int,
+    val target: TargetEntry,
+    val copyTo: TargetEntry?,
+    sentAt: Instant,
+) {
     var heardAt: Instant = sentAt
     var probedAt: Instant = sentAt
     var head: AnswerHead? = null
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -41,7 +41,7 @@
 
     private var lastEventAt = call.receivedAt
 
-    /** Target that keeps a copy of the memory of the last run, until it has been tried. */
+    /** Target that keeps a copy of the memory of an earlier run, until it has been tried. */
     private var copyHolder: TargetEntry? = null
 
     /** A target's own failure, passed on when nothing better comes. */
@@ -203,8 +203,8 @@
         reached++
         delivered++
         val fromCopy = copyHolder?.takeIf { it.id == placed.target.id }
-        copyHolder = placed.copyTo
-        val run = Attempt(attempts, placed.target, now)
+        if (fromCopy != null) copyHolder = null
+        val run = Attempt(attempts, placed.target, placed.copyTo, now)
         current = run
         val send = ExchangeEffect.Send(
             attempt = run.number,
@@ -262,6 +262,7 @@
     private fun fail(run: Attempt, outcome: FlightOutcome, detail: String, now: Instant) {
         leave(run, outcome, detail, now)
         avoid = avoid.add(run.target.id)
+        if (outcome.mayHaveRun && run.copyTo != null) copyHolder = run.copyTo
         if (run.passing) return outlet.breakOff("the answer ended early: $detail", attempts, now)
         outlet.restart()
         if (!mayRetry(outcome, now)) return giveUp(exhausted(outcome, detail), now)
@@ -371,7 +372,7 @@
     /** Pause between events that is taken for a loss, or null while none is due or allowed. */
     private fun Attempt.patience(): Duration? = when {
         events == 0 || !kind.repeatable -> null
-        copyHolder != null -> options.copyPatience
+        copyTo != null -> options.copyPatience
         else -> options.barePatience
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -108,27 +108,30 @@
 )
 
 /** How a request left a target. */
-public enum class FlightOutcome {
+public enum class FlightOutcome(
+    /** Whether the target may have begun to work on the request. */
+    public val mayHaveRun: Boolean,
+) {
     /** A whole answer came. */
-    DONE,
+    DONE(mayHaveRun = true),
 
     /** The target failed the request, or broke off. */
-    FAILED,
+    FAILED(mayHaveRun = true),
 
     /** The target said that it is full; the request did not run. */
-    SHED,
+    SHED(mayHaveRun = false),
 
     /** No connection could be made. */
-    UNREACHABLE,
+    UNREACHABLE(mayHaveRun = false),
 
     /** The target accepted the request and fell silent. */
-    SILENT,
+    SILENT(mayHaveRun = true),
 
     /** Another target has the address. */
-    REPLACED,
+    REPLACED(mayHaveRun = false),
 
     /** The caller left or the time ran out; says nothing about the target. */
-    CANCELLED,
+    CANCELLED(mayHaveRun = true),
 }
 
 /** Figures of one service's pool. */
@@ -149,6 +152,8 @@
     public val crossDomainScore: Double = 0.6,
     /** Score of a target that fails every request. */
     public val failureScore: Double = 12.0,
+    /** Score of a target in whose failure domain another one has lately fallen silent. */
+    public val domainScore: Double = 8.0,
     /** Longest time for which a target that failed to connect is left out. */
     public val longestPause: Duration = LONGEST_PAUSE,
 )
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -27,6 +27,7 @@
     private val placements = HashMap<Long, TargetId>()
     private val copies = HashMap<Long, TargetId>()
     private val queue = WaitingQueue()
+    private val silentDomains = HashMap<FailureDomainId, Instant>()
     private var service: Service? = null
 
     override fun onTargets(service: Service, targets: ImmutableList<Listed>, now: Instant) {
@@ -73,7 +74,10 @@
 
     override fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant) {
         copies.remove(ticket)?.let { targets[it] }?.remove(ticket)
-        placements.remove(ticket)?.let { targets[it] }?.onEnded(ticket, outcome, now)
+        val target = placements.remove(ticket)?.let { targets[it] } ?: return
+        target.onEnded(ticket, outcome, now)
+        val silent = outcome == FlightOutcome.SILENT || outcome == FlightOutcome.UNREACHABLE
+        if (silent) silentDomains[target.entry.failureDomain] = now
     }
 
     override fun stats(now: Instant): PoolStats = PoolStats(
@@ -140,8 +144,15 @@
         val reading = target.unreadTokens / READING_TOKENS
         val excess = (target.failureRate - failureBaseline()).coerceAtLeast(0.0)
         val sick = excess * options.failureScore
+        val dark = if (mayBeSilent(target, now)) options.domainScore else 0.0
         val jitter = random.nextDouble() * JITTER
-        return (load + 1) * slowness(target) + reading + far + sick + jitter
+        return (load + 1) * slowness(target) + reading + far + sick + dark + jitter
+    }
+
+    /** Targets of one failure domain often fail together, with their rack or their links. */
+    private fun mayBeSilent(target: TargetLoad, now: Instant): Boolean {
+        val since = silentDomains[target.entry.failureDomain] ?: return false
+        return now - since < DOMAIN_DOUBT && target.heardAt < since
     }
 
     /** How much longer than the pool's median a target takes; 1 where nothing is known. */
@@ -184,6 +195,9 @@
         const val JITTER = 0.4
         const val MAX_SLOWNESS = 8.0
 
+        /** Time for which one silent target casts doubt on others that were not heard since. */
+        val DOMAIN_DOUBT = 1_500.milliseconds
+
         /** Time in which reported load of other hosts fades: about the length of a request. */
         val PLAIN_FADE = 300.milliseconds
         val ENGINE_FADE = 5.seconds
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -28,6 +28,10 @@
     private var pausedUntil: Instant = Instant.DISTANT_PAST
     private var pause = ZERO
 
+    /** When the target last answered anything. */
+    var heardAt: Instant = Instant.DISTANT_PAST
+        private set
+
     /** Takes a changed entry; a new incarnation starts with a clean record. */
     fun onListed(listed: Listed) {
         val reborn = !entry.sameIncarnation(listed.entry) || entry.address != listed.entry.address
@@ -65,6 +69,7 @@
     fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
         val flight = flights[ticket]
         flight?.answering = true
+        heardAt = now
         if (load == null) return
         val mine = flights.values.count { !it.copy }
         others = max(0.0, (load.running + load.waiting - mine).toDouble())
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeTest.kt
@@ -119,6 +119,22 @@
         assertEquals("id: 3\n\n", text(trial.exchange.onBody(2, bytes("id: 3\n\n"), start)))
     }
 
+    @Test
+    fun `a copy is not asked for when the run never began`() {
+        val trial = Trial(CallKind.RESUMABLE_STREAM, one, two, copyTo = two)
+        trial.begin()
+        val effects = trial.exchange.onFailure(1, AttemptFailure.NOT_CONNECTED, start)
+        assertNull(assertIs<ExchangeEffect.Send>(effects.single()).copyAt)
+    }
+
+    @Test
+    fun `a run that broke before its first event goes on from its copy`() {
+        val trial = Trial(CallKind.RESUMABLE_STREAM, one, two, copyTo = two)
+        trial.begin()
+        val effects = trial.exchange.onFailure(1, AttemptFailure.BROKEN, start)
+        assertEquals(two.address, assertIs<ExchangeEffect.Send>(effects.single()).copyAt)
+    }
+
     @Test
     fun `late bytes of an earlier attempt are ignored`() {
         val trial = Trial(CallKind.RESUMABLE_STREAM, one, two)
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -70,6 +70,16 @@
         }
     }
 
+    @Test
+    fun `a failure domain in which a target fell silent is left out until others are heard`() {
+        val policy = engines("n1" to "north", "n2" to "north", "n3" to "north", "s1" to "south")
+        val silent = assertIs<Decision.Placed>(policy.submit(run(1), now)).target
+        assertEquals("north", silent.failureDomain.value)
+        policy.flights().onEnded(1, FlightOutcome.SILENT, now)
+        val next = assertIs<Decision.Placed>(policy.submit(run(2), now)).target
+        assertEquals("s1", next.id.value)
+    }
+
     @Test
     fun `a target that fails much more than its pool gets little`() {
         val policy = plain("a", "b", "c")
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -116,7 +116,7 @@
         const val CLOSE_TIMEOUT_MILLIS = 200L
 
         /** Targets and peers are some milliseconds away; a lost opening packet costs more. */
-        val CONNECT_TIMEOUT: Duration = 400.milliseconds
+        val CONNECT_TIMEOUT: Duration = 250.milliseconds
         val KEEP_IDLE = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE)
         val KEEP_INTERVAL = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL)
         val KEEP_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT)
