--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -35,7 +35,8 @@
     private val transport = Transport()
     private val calls = Calls(Connections(transport, transport.control), transport.control)
     private val store = deployment.store(settings.storeAddress, calls)
-    private val news = HostNews(deployment, clock, log)
+    private val metrics = ForwardMetrics(log)
+    private val news = HostNews(deployment, clock, metrics)
     private val peers = PeerNews(
         settings.host.name,
         settings.peerAddress,
@@ -52,7 +53,7 @@
         LoadPolicy.factory(),
     )
     private val server =
-        RequestServer(deployment, transport, clock, pools, { news.view }, log)
+        RequestServer(deployment, transport, clock, pools, { news.view }, metrics)
     private val scope =
         CoroutineScope(SupervisorJob() + transport.control.asCoroutineDispatcher())
     private val stopped = CompletableDeferred<ExitCode>()
@@ -68,6 +69,10 @@
         transport.listen(transport.requests, settings.callerAddress, server::onConnection)
         val news = SmallServer(::peerNews)
         transport.listen(transport.control, settings.peerAddress, news::onConnection)
+        val operators = SmallServer { path, _ -> operator(path) }
+        transport.listen(transport.requests, settings.operatorAddress, operators::onConnection)
+        metrics.gauge("burdock_forward_open_requests") { server.openRequests }
+        metrics.gauge("burdock_forward_hosts") { peers.hosts }
         transport.requests.execute(server::start)
         log.onProcess("started", "${settings.host.name} in ${settings.host.failureDomain}")
     }
@@ -113,6 +118,16 @@
         return SmallAnswer(if (ready) OK else UNAVAILABLE)
     }
 
+    private fun operator(path: String): SmallAnswer = when (path) {
+        "/metrics" -> SmallAnswer(OK, metrics.scrape().encodeToByteArray())
+        "/state" -> {
+            val peers = peers.known()
+            val dump = stateDump(news.view, pools, peers, server.openRequests, clock.now())
+            SmallAnswer(OK, dump.toString().encodeToByteArray(), "application/json")
+        }
+        else -> SmallAnswer(NOT_FOUND)
+    }
+
     private fun peerNews(path: String, body: ByteArray): SmallAnswer {
         if (path != PeerNews.PATH) return SmallAnswer(NOT_FOUND)
         val request = NewsRequest.parseFrom(body)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -36,7 +36,7 @@
     private val clock: TimeSource,
     private val pools: ServicePools,
     private val view: () -> HostView,
-    private val log: ForwardLog,
+    private val log: ForwardMetrics,
 ) : CallerHandler {
     private val gatekeeper = Gatekeeper(System.nanoTime())
     private val targets = Connections(transport, transport.requests)
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
@@ -0,0 +1,56 @@
+/** The state of a host as JSON, for operators. */
+package burdockspread.forward.host
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import kotlin.time.Instant
+
+/** Writes versions, targets, pools and peers as of [now]. */
+internal fun stateDump(
+    view: HostView,
+    pools: ServicePools,
+    peers: Collection<String>,
+    openRequests: Int,
+    now: Instant,
+): JsonObject = buildJsonObject {
+    put("now", now.toString())
+    put("serving", view.serving)
+    put("openRequests", openRequests)
+    putJsonObject("configuration") {
+        put("version", view.catalog?.version)
+        put("confirmed", view.current)
+        put("routes", view.catalog?.routes?.size ?: 0)
+    }
+    putTargets(view)
+    putJsonObject("pools") {
+        pools.entries().forEach { (service, pool) ->
+            val stats = pool.policy.stats(now)
+            putJsonObject(service.value) {
+                put("targets", stats.targets)
+                put("suspected", stats.suspected)
+                put("flights", stats.flights)
+                put("waiting", stats.waiting)
+            }
+        }
+    }
+    putJsonArray("peers") { peers.forEach { add(it) } }
+}
+
+private fun JsonObjectBuilder.putTargets(view: HostView) {
+    putJsonObject("targets") {
+        put("storeVersion", view.directory.version)
+        view.directory.services.forEach { (service, targets) ->
+            putJsonArray(service.value) {
+                targets.forEach { listed ->
+                    val doubt = if (listed.doubtful) " (doubtful)" else ""
+                    add("${listed.entry.id} at ${listed.entry.address}$doubt")
+                }
+            }
+        }
+    }
+}
