--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -163,7 +163,7 @@
 
     override fun onStop(now: Instant): ImmutableList<ExchangeEffect> = step {
         cancelRun(now)
-        giveUp(refusal(ErrorCode.DRAINING, "the host stops", STOP_RETRY), now)
+        giveUp(Refusal(ErrorCode.DRAINING, "the host stops", STOP_RETRY), now)
     }
 
     /** Looks for a target, for the first time or again. */
@@ -265,7 +265,7 @@
         if (outcome.mayHaveRun && run.copyTo != null) copyHolder = run.copyTo
         if (run.passing) return outlet.breakOff("the answer ended early: $detail", attempts, now)
         outlet.restart()
-        if (!mayRetry(outcome, now)) return giveUp(exhausted(outcome, detail), now)
+        if (!mayRetry(outcome, now)) return giveUp(exhausted(kind, delivered, outcome, detail), now)
         seek(now)
     }
 
@@ -276,19 +276,11 @@
         return outcome == FlightOutcome.UNREACHABLE || budget.tryTake()
     }
 
-    private fun exhausted(outcome: FlightOutcome, detail: String): Refusal = when {
-        delivered == 0 && outcome == FlightOutcome.SHED ->
-            refusal(ErrorCode.OVERLOADED, "every target was full: $detail", SHED_RETRY)
-        delivered == 0 -> refusal(ErrorCode.RETRY_BUDGET_SPENT, detail, SHED_RETRY)
-        kind.repeatable -> refusal(ErrorCode.CALL_FAILED, detail, null)
-        else -> refusal(ErrorCode.OUTCOME_UNKNOWN, detail, null)
-    }
-
     private fun expire(now: Instant) {
         cancelRun(now)
         val code =
             if (delivered > 0) ErrorCode.TARGET_TIMEOUT else ErrorCode.DEADLINE_UNREACHABLE
-        giveUp(refusal(code, "the deadline passed after $attempts attempts", null), now)
+        giveUp(Refusal(code, "the deadline passed after $attempts attempts", null), now)
     }
 
     /** Ends with [refusal], with a target's own failure, or by breaking off what has begun. */
@@ -296,14 +288,7 @@
         if (outlet.begun) return outlet.breakOff(refusal.detail, attempts, now)
         val held = failure
         if (held != null) return outlet.deliver(held, attempts, now)
-        val truthful =
-            if (delivered > 0 && refusal.code.httpStatus in NOT_RUN_STATUSES) {
-                val code = if (kind.repeatable) ErrorCode.CALL_FAILED else ErrorCode.OUTCOME_UNKNOWN
-                refusal(code, refusal.detail, null)
-            } else {
-                refusal
-            }
-        outlet.refuse(truthful, attempts, now)
+        outlet.refuse(truthful(refusal, kind, delivered), attempts, now)
     }
 
     private fun cancelRun(now: Instant) {
@@ -340,9 +325,6 @@
 
     private fun AnswerHead.isOurs(): Boolean = sealed && answers == call.id
 
-    private fun refusal(code: ErrorCode, detail: String, retryAfter: Duration?): Refusal =
-        Refusal(code, detail, retryAfter)
-
     private fun emit(effect: ExchangeEffect): Unit = outlet.emit(effect)
 
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
@@ -380,9 +362,6 @@
         const val SERVER_ERRORS = 500
         const val MISDIRECTED = 421
 
-        /** Statuses by which the system promises that a request has not run. */
-        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
-
         /** Sends of one request, those included that reached no target or did not run. */
         const val MOST_SENDS = 8
 
@@ -390,7 +369,6 @@
         val TOLERATED_LATENESS = 60.milliseconds
         val SHORTEST_WAIT = 20.milliseconds
         val SHORTEST_TRY = 50.milliseconds
-        val SHED_RETRY = 60.milliseconds
         val STOP_RETRY = 20.milliseconds
     }
 }
--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Refusals.kt
@@ -0,0 +1,36 @@
+/** Refusals that say no more than what is known of a request's attempts. */
+package burdockspread.forward.exchange
+
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
+import burdockspread.error.Truth
+import burdockspread.forward.catalog.CallKind
+import burdockspread.forward.load.FlightOutcome
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The refusal after a last attempt that ended with [outcome]; [delivered] attempts may have run. */
+internal fun exhausted(
+    kind: CallKind,
+    delivered: Int,
+    outcome: FlightOutcome,
+    detail: String,
+): Refusal = when {
+    delivered > 0 -> Refusal(failed(kind), detail)
+    outcome == FlightOutcome.SHED ->
+        Refusal(ErrorCode.OVERLOADED, "every target was full: $detail", SHED_RETRY)
+    else -> Refusal(ErrorCode.RETRY_BUDGET_SPENT, detail, SHED_RETRY)
+}
+
+/** [refusal], or a failure that promises nothing when the request may have run after all. */
+internal fun truthful(refusal: Refusal, kind: CallKind, delivered: Int): Refusal =
+    if (delivered > 0 && refusal.truth == Truth.NOT_RUN) {
+        Refusal(failed(kind), refusal.detail)
+    } else {
+        refusal
+    }
+
+private fun failed(kind: CallKind): ErrorCode =
+    if (kind.repeatable) ErrorCode.CALL_FAILED else ErrorCode.OUTCOME_UNKNOWN
+
+/** A full target has room again when one of its calls ends, some tens of milliseconds later. */
+private val SHED_RETRY = 60.milliseconds
