--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -110,7 +110,7 @@
             return@ofCurrent
         }
         val head = run.head ?: return@ofCurrent
-        emit(ExchangeEffect.Release(run.number, reusable && !run.tainted))
+        outlet.emit(ExchangeEffect.Release(run.number, reusable && !run.tainted))
         if (run.streams || run.passing) {
             leave(run, outcomeOf(head), "status ${head.status}", now)
             outlet.finish(head, attempts, now)
@@ -132,7 +132,7 @@
             } else {
                 FlightOutcome.FAILED
             }
-        if (failure == AttemptFailure.MALFORMED) emit(ExchangeEffect.Drop(run.number))
+        if (failure == AttemptFailure.MALFORMED) outlet.emit(ExchangeEffect.Drop(run.number))
         fail(run, outcome, failure.name, now)
     }
 
@@ -142,7 +142,7 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
         if (alive || run.heardAt > run.probedAt) return@ofCurrent
-        emit(ExchangeEffect.Drop(run.number))
+        outlet.emit(ExchangeEffect.Drop(run.number))
         fail(run, FlightOutcome.SILENT, "no answer to a probe", now)
     }
 
@@ -215,24 +215,24 @@
             copyTo = placed.copyTo,
         )
         listener.onSent(call, send, now)
-        emit(send)
+        outlet.emit(send)
     }
 
     private fun onSilence(run: Attempt, now: Instant) {
         val silent = now - run.heardAt
         if (!kind.stream) {
-            emit(ExchangeEffect.Drop(run.number))
+            outlet.emit(ExchangeEffect.Drop(run.number))
             fail(run, FlightOutcome.FAILED, "silent for $silent", now)
             return
         }
         val limit = run.patience()
         if (limit != null && silent >= limit) {
-            emit(ExchangeEffect.Drop(run.number))
+            outlet.emit(ExchangeEffect.Drop(run.number))
             fail(run, FlightOutcome.SILENT, "silent for $silent", now)
             return
         }
         run.probedAt = now
-        emit(ExchangeEffect.Probe(run.number, run.target))
+        outlet.emit(ExchangeEffect.Probe(run.number, run.target))
     }
 
     /** Decides what becomes of a whole answer that is no running stream. */
@@ -295,7 +295,7 @@
         if (waiting) policy.cancel(call.ticket)
         waiting = false
         val run = current ?: return
-        emit(ExchangeEffect.Drop(run.number))
+        outlet.emit(ExchangeEffect.Drop(run.number))
         leave(run, FlightOutcome.CANCELLED, "cancelled", now)
     }
 
@@ -325,8 +325,6 @@
 
     private fun AnswerHead.isOurs(): Boolean = sealed && answers == call.id
 
-    private fun emit(effect: ExchangeEffect): Unit = outlet.emit(effect)
-
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (ended) return persistentListOf()
         block()
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Refusals.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Refusals.kt
@@ -8,7 +8,7 @@
 import burdockspread.forward.load.FlightOutcome
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The refusal after a last attempt that ended with [outcome]; [delivered] attempts may have run. */
+/** The refusal after a last attempt; [delivered] attempts may have run. */
 internal fun exhausted(
     kind: CallKind,
     delivered: Int,
