--- a/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
@@ -11,6 +11,9 @@
 /**
  * Lists a kind, watches it from there, and lists anew when the watch ends.
  *
+ * Only the first list may be old, since the watch brings what is newer. After a watch has ended
+ * an old list could lie before what the store remembers, and its watch would end again.
+ *
  * A watch that ends at once counts as a failure like a list without an answer: a store that
  * answers reads and turns watches away is asked ever less often.
  *
@@ -28,8 +31,10 @@
     /** Runs until it is cancelled. */
     public suspend fun run() {
         var failures = 0
+        var first = true
         while (true) {
-            val listed = store.list(kind)
+            val listed = if (first) store.listCached(kind) else store.list(kind)
+            first = false
             val lived = if (listed is ListResult.Listed) follow(listed) else Duration.ZERO
             failures = if (lived >= HEALTHY_WATCH) 0 else failures + 1
             if (listed is ListResult.Unavailable) sink.onLost(kind, listed.reason)
--- a/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
@@ -16,6 +16,12 @@
     /** Lists the objects of one kind. */
     public suspend fun list(kind: String): ListResult
 
+    /**
+     * Lists the objects of one kind as of up to some seconds ago, where the store offers that at a
+     * lower price. Its version may be too old to watch from.
+     */
+    public suspend fun listCached(kind: String): ListResult = list(kind)
+
     /** Writes [value] if [condition] holds. The [writeId] is kept with the object. */
     public suspend fun put(
         key: ObjectKey,
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
@@ -57,6 +57,18 @@
         assertTrue(store.answers in 40..50, "${store.answers} answers in ten seconds")
     }
 
+    @Test
+    fun `a store whose cached lists lie before its history is caught up with by a recent one`() =
+        runTest {
+            val store = ScriptedStore(changes = true, cachedVersion = 0, history = 5)
+            val sink = Sink()
+            val follower = launch { follower(store, sink).run() }
+            delay(1.seconds)
+            follower.cancel()
+            assertEquals(listOf(0L, 9L), sink.listed)
+            assertTrue(store.answers > 0)
+        }
+
     private fun TestScope.follower(store: ObjectStore, sink: KindSink): KindFollower {
         val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
         return KindFollower("things", store, sink, clock)
@@ -64,8 +76,11 @@
 
     private class Sink : KindSink {
         var lost = 0
+        val listed = ArrayList<Long>()
 
-        override fun onListed(kind: String, listed: ListResult.Listed) = Unit
+        override fun onListed(kind: String, listed: ListResult.Listed) {
+            this.listed += listed.version
+        }
 
         override fun onEvent(kind: String, event: WatchEvent) = Unit
 
@@ -78,6 +93,8 @@
         private val listed: Boolean = true,
         private val watchLives: Duration = Duration.ZERO,
         private val changes: Boolean = false,
+        private val cachedVersion: Long = 9,
+        private val history: Long = 0,
     ) : ObjectStore {
         var calls = 0
         var answers = 0
@@ -87,7 +104,12 @@
         override suspend fun list(kind: String): ListResult {
             calls++
             if (!listed) return ListResult.Unavailable("away")
-            return ListResult.Listed(persistentListOf(), 1)
+            return ListResult.Listed(persistentListOf(), 9)
+        }
+
+        override suspend fun listCached(kind: String): ListResult = when (val recent = list(kind)) {
+            is ListResult.Listed -> recent.copy(version = cachedVersion)
+            is ListResult.Unavailable -> recent
         }
 
         override suspend fun put(
@@ -108,7 +130,7 @@
                 delay(watchLives)
                 emit(WatchEvent.Progress(version))
             }
-            while (changes) {
+            while (changes && version >= history) {
                 delay(10.milliseconds)
                 emit(WatchEvent.Deleted(ObjectKey(kind, "one"), ++answers + version))
                 emit(WatchEvent.Progress(answers + version))
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -57,7 +57,7 @@
     }
 
     private suspend fun list() {
-        val listed = store.list(KIND)
+        val listed = store.listCached(KIND)
         if (listed !is ListResult.Listed) return
         val found = listed.objects.mapNotNull { ADDRESS.find(it.value)?.groupValues?.get(1) }
         peers.onListed(found)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -100,7 +100,7 @@
         val path = head.uri().substringBefore('?')
         val fields = deployment.dialect.caller(host, path) { head.headers()[it] }
         val admitted = gatekeeper.admit(fields, seen.catalog, seen.current, request.startedAt)
-        val refusal = admitted.leftOrNull() ?: stopRefusal(now)
+        val refusal = admitted.fold({ it }, { stopRefusal(it, now) })
         if (refusal != null) {
             log.onTurnedAway(fields.id, path, refusal)
             answer.refuse(refusal)
@@ -118,10 +118,10 @@
         return runner.start()
     }
 
-    /** Long after the balancer has been told, new work could not be finished in time. */
-    private fun stopRefusal(now: Instant): Refusal? {
+    /** A new stream would not end in time; calls are short and are taken a while longer. */
+    private fun stopRefusal(call: Call, now: Instant): Refusal? {
         val since = stoppingSince ?: return null
-        if (now - since < TAKES_WHILE_STOPPING) return null
+        if (!call.route.kind.stream && now - since < TAKES_WHILE_STOPPING) return null
         return Refusal(ErrorCode.DRAINING, "the host stops", RETRY_ELSEWHERE)
     }
 
