--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/BurdockCtl.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/BurdockCtl.kt
@@ -46,6 +46,7 @@
                 FleetCommand(),
                 DumpCommand(),
                 DrainCommand(),
+                ExplainCommand(),
                 CheckConfigCommand(),
             )
 
--- /dev/null
+++ b/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
@@ -0,0 +1,73 @@
+package burdockspread.ctl
+
+import com.github.ajalt.clikt.testing.test
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+class ExplainTest {
+    @TempDir
+    lateinit var directory: Path
+
+    @Test
+    fun `a stream that paused and went on`() {
+        val log = """
+            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"target_gone","target":"i-1"}}
+            {"time":"2026-06-01T03:51:03.361Z","message":{"event":"attempt_failed","request":"r1","attempt":"1","target":"i-1","outcome":"SILENT","detail":"silent for 380ms"}}
+            {"time":"2026-06-01T03:51:03.372Z","message":{"event":"goes_on","request":"r1","attempt":"2","pause_ms":"391"}}
+            {"time":"2026-06-01T03:51:05.000Z","message":{"event":"answered","request":"r1","status":"200","ms":"5525"}}
+        """
+        val out = explain("r1", log)
+        assertContains(out, "target_gone")
+        assertContains(out, "pause_ms=391")
+        assertContains(
+            out,
+            "cause: answered with 200 after 5525 ms; attempt 1 at i-1: SILENT, silent for 380ms",
+        )
+    }
+
+    @Test
+    fun `a refused summary`() {
+        val log = """
+            noise before {"time":"2026-06-01T03:51:03.100Z","message":{"event":"refused","request":"r2","status":"503","code":"205","truth":"NOT_RUN","detail":"no room at 17 targets"}}
+        """
+        val wanted = "cause: refused with 503, code 205 (NOT_RUN): no room at 17 targets"
+        assertContains(explain("r2", log), wanted)
+    }
+
+    @Test
+    fun `a booking with an unknown outcome, with the store's loss just before`() {
+        val log = """
+            # A fatal error has been detected
+            {"time":"2026-06-01T03:51:01.100Z","message":{"event":"store_lost","kind":"servers"}}
+            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"attempt_failed","request":"r3","attempt":"1","target":"i-9","outcome":"FAILED","detail":"BROKEN"}}
+            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"refused","request":"r3","status":"502","code":"403","truth":"OUTCOME_UNKNOWN","detail":"BROKEN"}}
+        """
+        val out = explain("r3", log)
+        assertContains(out, "store_lost")
+        assertContains(out, "code 403 (OUTCOME_UNKNOWN): BROKEN; attempt 1 at i-9: FAILED, BROKEN")
+    }
+
+    @Test
+    fun `an unknown request is a clear error`() {
+        val result = run("nobody", "{}")
+        assertEquals(1, result.statusCode)
+        assertContains(result.stderr, "no line of 1 files names the request nobody")
+    }
+
+    private fun explain(id: String, log: String): String = run(id, log).stdout
+
+    private fun run(id: String, log: String) = BurdockCtl.create(FakeEnvironment())
+        .test(
+            listOf(
+                "explain",
+                id,
+                directory.resolve("host.log").apply {
+                    writeText(log)
+                }.toString(),
+            ),
+        )
+}
