Always make a copy; take a broken stream for a crash; do not all choose the unknown runner

Ruled out: the copies themselves (resumed in 394 to 460 ms where there was one). Change: room counts for a copy only by its score; a connection that breaks under a stream pauses the target and casts doubt on its failure domain; a target not heard of counts as loaded as the pool, and one is drawn from those within half a request of the best.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -2,6 +2,7 @@
 package burdockspread.forward.exchange
 
 import burdockspread.forward.catalog.Route
+import burdockspread.forward.load.FlightOutcome
 import burdockspread.forward.load.ReportedLoad
 import burdockspread.id.OrganisationId
 import burdockspread.id.ServiceId
@@ -63,15 +64,18 @@
 }
 
 /** Why an attempt ended without a whole answer. */
-public enum class AttemptFailure {
+public enum class AttemptFailure(
+    /** What it tells of the target. */
+    public val outcome: FlightOutcome,
+) {
     /** No connection could be made; nothing was sent. */
-    NOT_CONNECTED,
+    NOT_CONNECTED(FlightOutcome.UNREACHABLE),
 
     /** The connection ended or was reset before the answer was whole. */
-    BROKEN,
+    BROKEN(FlightOutcome.BROKEN),
 
     /** What came is no answer in the protocol. */
-    MALFORMED,
+    MALFORMED(FlightOutcome.FAILED),
 }
 
 /** Tuning of exchanges. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -124,16 +124,12 @@
         failure: AttemptFailure,
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ofCurrent(attempt) { run ->
-        val outcome =
-            if (failure == AttemptFailure.NOT_CONNECTED) {
-                reached--
-                delivered--
-                FlightOutcome.UNREACHABLE
-            } else {
-                FlightOutcome.FAILED
-            }
+        if (failure == AttemptFailure.NOT_CONNECTED) {
+            reached--
+            delivered--
+        }
         if (failure == AttemptFailure.MALFORMED) outlet.emit(ExchangeEffect.Drop(run.number))
-        fail(run, outcome, failure.name, now)
+        fail(run, failure.outcome, failure.name.lowercase(), now)
     }
 
     override fun onProbe(
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -115,9 +115,12 @@
     /** A whole answer came. */
     DONE(mayHaveRun = true),
 
-    /** The target failed the request, or broke off. */
+    /** The target answered with a failure, or with what is no answer. */
     FAILED(mayHaveRun = true),
 
+    /** The connection ended before the answer was whole. */
+    BROKEN(mayHaveRun = true),
+
     /** The target said that it is full; the request did not run. */
     SHED(mayHaveRun = false),
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -76,8 +76,11 @@
         copies.remove(ticket)?.let { targets[it] }?.remove(ticket)
         val target = placements.remove(ticket)?.let { targets[it] } ?: return
         target.onEnded(ticket, outcome, now)
-        val silent = outcome == FlightOutcome.SILENT || outcome == FlightOutcome.UNREACHABLE
-        if (silent) silentDomains[target.entry.failureDomain] = now
+        val crashed = outcome == FlightOutcome.BROKEN && service?.engine != null
+        if (crashed) target.lengthenPause(now)
+        if (crashed || outcome == FlightOutcome.SILENT || outcome == FlightOutcome.UNREACHABLE) {
+            silentDomains[target.entry.failureDomain] = now
+        }
     }
 
     override fun stats(now: Instant): PoolStats = PoolStats(
@@ -108,29 +111,41 @@
         }
         val calm = open.filterNot { it.paused(now) || it.doubtful }
         val last = { open.filterNot { it.paused(now) }.ifEmpty { lastResort(demand) } }
-        return calm.ifEmpty(last).minByOrNull { score(it, now) }
+        return pick(calm.ifEmpty(last), now)
     }
 
     /** Targets that failed this request or do not answer, when the pool has nothing else. */
     private fun lastResort(demand: Demand): List<TargetLoad> =
         if (targets.size <= demand.avoid.size) targets.values.toList() else emptyList()
 
-    /** Another target for the copy, in another failure domain where there is one. */
+    /**
+     * Another target for the copy, in another failure domain where there is one. A target without
+     * room keeps less of the copy, or none, so room counts only by the score.
+     */
     private fun copyTarget(demand: Demand, run: TargetLoad, now: Instant): TargetLoad? {
         val open = targets.values.filter {
-            it !== run &&
-                it.entry.id !in demand.avoid &&
-                !it.doubtful &&
-                !it.paused(now) &&
-                hasRoom(it, demand, now)
+            it !== run && it.entry.id !in demand.avoid && !it.doubtful && !it.paused(now)
         }
         val apart = open.filter { it.entry.failureDomain != run.entry.failureDomain }
-        return apart.ifEmpty { open }.minByOrNull { score(it, now) }
+        return pick(apart.ifEmpty { open }, now)
+    }
+
+    /**
+     * One of those with about the best score. Hosts with the same view must not all choose the
+     * same target, and a target that nobody has heard of lately must not look empty to all.
+     */
+    private fun pick(open: List<TargetLoad>, now: Instant): TargetLoad? {
+        val usual = open.mapNotNull { it.reportedOthers(now, fade()) }.average()
+        val scored = open.map { Scored(it, score(it, if (usual.isNaN()) 0.0 else usual, now)) }
+        val best = scored.minOfOrNull { it.score } ?: return null
+        return scored.filter { it.score <= best + NEARLY_BEST }.random(random).target
     }
 
+    private class Scored(val target: TargetLoad, val score: Double)
+
     private fun hasRoom(target: TargetLoad, demand: Demand, now: Instant): Boolean {
         val engine = service?.engine
-        val others = target.others(now, fade())
+        val others = target.reportedOthers(now, fade()) ?: 0.0
         if (engine == null) return target.own + others < target.entry.slots * PLAIN_DEPTH
         val tokens = demand.promptTokens + demand.outputTokens
         val used = target.ownTokens + others * tokens
@@ -138,15 +153,14 @@
         return target.own + others < engine.slots && used + tokens <= room
     }
 
-    private fun score(target: TargetLoad, now: Instant): Double {
+    private fun score(target: TargetLoad, usual: Double, now: Instant): Double {
         val far = if (target.entry.failureDomain == ownDomain) 0.0 else options.crossDomainScore
-        val load = target.own + target.others(now, fade())
+        val load = target.own + target.others(now, fade(), usual)
         val reading = target.unreadTokens / READING_TOKENS
         val excess = (target.failureRate - failureBaseline()).coerceAtLeast(0.0)
         val sick = excess * options.failureScore
         val dark = if (mayBeSilent(target, now)) options.domainScore else 0.0
-        val jitter = random.nextDouble() * JITTER
-        return (load + 1) * slowness(target) + reading + far + sick + dark + jitter
+        return (load + 1) * slowness(target) + reading + far + sick + dark
     }
 
     /** Targets of one failure domain often fail together, with their rack or their links. */
@@ -191,8 +205,8 @@
         /** Unread prompt tokens that weigh as much as one running request. */
         const val READING_TOKENS = 2_000.0
 
-        /** Random part of a score, so that hosts with the same view do not choose alike. */
-        const val JITTER = 0.4
+        /** Difference of scores that says nothing: half a request. */
+        const val NEARLY_BEST = 0.5
         const val MAX_SLOWNESS = 8.0
 
         /** Time for which one silent target casts doubt on others that were not heard since. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -54,12 +54,19 @@
     /** Prompt tokens of own requests that have not begun to answer. */
     val unreadTokens: Int get() = flights.values.sumOf { if (it.answering) 0 else it.promptTokens }
 
-    /** Requests of other hosts, fading between reports. */
-    fun others(now: Instant, fade: Duration): Double {
-        val age = (now - othersAt).coerceAtLeast(ZERO)
-        return if (age >= fade) 0.0 else others * (1.0 - age / fade)
+    /** Requests of other hosts: what was reported last, fading to [usual], that of the pool. */
+    fun others(now: Instant, fade: Duration, usual: Double): Double {
+        val trust = trust(now, fade)
+        return others * trust + usual * (1.0 - trust)
     }
 
+    /** Requests of other hosts as reported, or null when the report is older than [fade]. */
+    fun reportedOthers(now: Instant, fade: Duration): Double? =
+        others.takeIf { trust(now, fade) > 0.0 }
+
+    private fun trust(now: Instant, fade: Duration): Double =
+        (1.0 - (now - othersAt) / fade).coerceIn(0.0, 1.0)
+
     fun paused(now: Instant): Boolean = now < pausedUntil
 
     fun add(ticket: Long, flight: FlightLoad) {
@@ -71,8 +78,7 @@
         flight?.answering = true
         heardAt = now
         if (load == null) return
-        val mine = flights.values.count { !it.copy }
-        others = max(0.0, (load.running + load.waiting - mine).toDouble())
+        others = max(0.0, (load.running + load.waiting - flights.size).toDouble())
         othersAt = now
     }
 
@@ -84,7 +90,8 @@
                 pause = ZERO
                 noteLatency(now - flight.since)
             }
-            FlightOutcome.FAILED, FlightOutcome.SHED -> failures += (1.0 - failures) * WEIGHT
+            FlightOutcome.FAILED, FlightOutcome.SHED, FlightOutcome.BROKEN ->
+                failures += (1.0 - failures) * WEIGHT
             FlightOutcome.SILENT, FlightOutcome.UNREACHABLE, FlightOutcome.REPLACED -> {
                 failures += (1.0 - failures) * WEIGHT
                 lengthenPause(now)
@@ -95,7 +102,8 @@
 
     fun remove(ticket: Long): Boolean = flights.remove(ticket) != null
 
-    private fun lengthenPause(now: Instant) {
+    /** Leaves the target out for a while, longer each time until it gives a whole answer. */
+    fun lengthenPause(now: Instant) {
         pause = (pause * 2).coerceIn(FIRST_PAUSE, LONGEST_PAUSE)
         pausedUntil = now + pause
     }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -13,6 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -80,6 +81,36 @@
         assertEquals("s1", next.id.value)
     }
 
+    @Test
+    fun `a copy is made even when every other runner looks full`() {
+        val policy = engines("n1" to "north", "s1" to "south")
+        (1L..16L).forEach { policy.submit(run(it).copy(wantsCopy = false), now) }
+        policy.flights().onEnded(1, FlightOutcome.DONE, now)
+        policy.flights().onEnded(2, FlightOutcome.DONE, now)
+        assertNotNull(assertIs<Decision.Placed>(policy.submit(run(17), now)).copyTo)
+    }
+
+    @Test
+    fun `a runner that crashed under a stream is left alone and its failure domain doubted`() {
+        val policy = engines("n1" to "north", "n2" to "north", "s1" to "south")
+        val crashed = assertIs<Decision.Placed>(policy.submit(run(1), now)).target
+        assertEquals("north", crashed.failureDomain.value)
+        policy.flights().onEnded(1, FlightOutcome.BROKEN, now)
+        val next = (2L..4L).map { assertIs<Decision.Placed>(policy.submit(run(it), now)).target }
+        assertEquals(setOf("s1"), next.map { it.id.value }.toSet())
+    }
+
+    @Test
+    fun `hosts with the same view spread over runners that none has heard of`() {
+        val names = Array(8) { "n$it" to "north" }
+        val chosen = (1L..14L).map { host ->
+            val policy = engines(*names, seed = host)
+            policy.flights()
+            assertIs<Decision.Placed>(policy.submit(run(1), now)).target.id
+        }
+        assertTrue(chosen.groupBy { it }.values.maxOf { it.size } <= 5, "$chosen")
+    }
+
     @Test
     fun `a target that fails much more than its pool gets little`() {
         val policy = plain("a", "b", "c")
@@ -134,16 +165,17 @@
 
     private fun call(ticket: Long) = Demand(ticket, waitUntil = now + 100.milliseconds)
 
-    private fun engines(vararg targets: Pair<String, String>) = policy(
+    private fun engines(vararg targets: Pair<String, String>, seed: Long = 7) = policy(
         Fixture.engineService(),
         targets.map { (name, domain) -> Fixture.target(name, domain = domain) },
+        seed,
     )
 
     private fun plain(vararg names: String) =
         policy(Fixture.plainService(), names.map { Fixture.target(it, Fixture.DESK) })
 
-    private fun policy(service: Service, targets: List<TargetEntry>): LoadPolicy =
-        LoadPolicy.factory().create(FailureDomainId("north"), 7).apply {
+    private fun policy(service: Service, targets: List<TargetEntry>, seed: Long = 7): LoadPolicy =
+        LoadPolicy.factory().create(FailureDomainId("north"), seed).apply {
             onTargets(service, targets.map { Listed(it, false) }.toImmutableList(), now)
         }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -48,6 +48,7 @@
     )
     private val pools = ServicePools(
         FailureDomainId(settings.host.failureDomain),
+        settings.host.name.hashCode().toLong(),
         settings.retries,
         { peers.hosts },
         LoadPolicy.factory(),
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -18,6 +18,7 @@
 /** Makes and updates the pools. Not thread-safe. */
 internal class ServicePools(
     private val domain: FailureDomainId,
+    private val seed: Long,
     private val retries: RetrySettings,
     private val hosts: () -> Int,
     private val factory: LoadPolicy.Factory,
@@ -30,7 +31,7 @@
     fun entries(): Map<ServiceId, ServicePool> = pools
 
     fun pool(service: ServiceId): ServicePool = pools.getOrPut(service) {
-        val policy = factory.create(domain, service.value.hashCode().toLong())
+        val policy = factory.create(domain, seed + service.value.hashCode())
         // Half of the shared slack: a token bucket may spend its capacity within any window.
         val capacity = (retries.slack / (2 * hosts().coerceAtLeast(FEWEST_HOSTS))).coerceAtLeast(1)
         ServicePool(policy, RetryBudget(retries.ratio * SAFETY, capacity))
