Tell peers of a lost target at once, and doubt its failure domain for as long as it is listed

Ruled out: missing copies (one was named in each case). Change: the first loss in a failure domain is told to three random peers, each of which tells three more if it is news to it; the doubt lasts 4 s, and a target that registers later is trusted.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -33,6 +33,12 @@
     /** Takes a waiting demand back. */
     public fun cancel(ticket: Long)
 
+    /**
+     * Takes another host's news that it lost [target]. True when the failure domain of the target
+     * was not in doubt already, so that others should hear of it too.
+     */
+    public fun onLoss(target: TargetId, now: Instant): Boolean
+
     /** Records the events of a placed request. */
     public fun flights(): FlightBook
 
@@ -41,16 +47,21 @@
 
     /** Makes the policy of one service on a host in [ownDomain]. */
     public fun interface Factory {
-        public fun create(ownDomain: FailureDomainId, seed: Long): LoadPolicy
+        public fun create(ownDomain: FailureDomainId, seed: Long, losses: LossListener): LoadPolicy
     }
 
     public companion object {
         /** The policy described in `docs/design/platform.md`. */
         public fun factory(options: LoadOptions = LoadOptions()): Factory =
-            Factory { domain, seed -> RealLoadPolicy(domain, seed, options) }
+            Factory { domain, seed, losses -> RealLoadPolicy(domain, seed, losses, options) }
     }
 }
 
+/** Hears that this host lost a target, and with it the trust in the target's failure domain. */
+public fun interface LossListener {
+    public fun onLost(target: TargetEntry)
+}
+
 /**
  * What a request needs of a target.
  *
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -19,6 +19,7 @@
 internal class RealLoadPolicy(
     private val ownDomain: FailureDomainId,
     seed: Long,
+    private val losses: LossListener,
     private val options: LoadOptions,
 ) : LoadPolicy,
     FlightBook {
@@ -35,7 +36,7 @@
         val ids = targets.map { it.entry.id }.toSet()
         this.targets.keys.retainAll(ids)
         targets.forEach { listed ->
-            this.targets.getOrPut(listed.entry.id) { TargetLoad(listed) }.onListed(listed)
+            this.targets.getOrPut(listed.entry.id) { TargetLoad(listed, now) }.onListed(listed)
         }
     }
 
@@ -79,10 +80,19 @@
         val crashed = outcome == FlightOutcome.BROKEN && service?.engine != null
         if (crashed) target.lengthenPause(now)
         if (crashed || outcome == FlightOutcome.SILENT || outcome == FlightOutcome.UNREACHABLE) {
-            silentDomains[target.entry.failureDomain] = now
+            if (doubt(target, now)) losses.onLost(target.entry)
         }
     }
 
+    override fun onLoss(target: TargetId, now: Instant): Boolean =
+        targets[target]?.let { doubt(it, now) } == true
+
+    /** Doubts the failure domain of [target]; true when it was trusted before. */
+    private fun doubt(target: TargetLoad, now: Instant): Boolean {
+        val before = silentDomains.put(target.entry.failureDomain, now)
+        return before == null || now - before >= DOMAIN_NEWS
+    }
+
     override fun stats(now: Instant): PoolStats = PoolStats(
         targets = targets.size,
         suspected = targets.values.count { it.paused(now) },
@@ -166,7 +176,7 @@
     /** Targets of one failure domain often fail together, with their rack or their links. */
     private fun mayBeSilent(target: TargetLoad, now: Instant): Boolean {
         val since = silentDomains[target.entry.failureDomain] ?: return false
-        return now - since < DOMAIN_DOUBT && target.heardAt < since
+        return now - since < DOMAIN_DOUBT && target.heardAt <= since
     }
 
     /** How much longer than the pool's median a target takes; 1 where nothing is known. */
@@ -209,8 +219,14 @@
         const val NEARLY_BEST = 0.5
         const val MAX_SLOWNESS = 8.0
 
-        /** Time for which one silent target casts doubt on others that were not heard since. */
-        val DOMAIN_DOUBT = 1_500.milliseconds
+        /**
+         * Time for which one silent target casts doubt on others that were not heard since. A
+         * target that is gone stays listed for three of its reports, 3.6 s.
+         */
+        val DOMAIN_DOUBT = 4.seconds
+
+        /** A further loss in a domain is no news to other hosts within this time. */
+        val DOMAIN_NEWS = 1.seconds
 
         /** Time in which reported load of other hosts fades: about the length of a request. */
         val PLAIN_FADE = 300.milliseconds
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -15,7 +15,7 @@
 internal val LONGEST_PAUSE: Duration = 2.seconds
 
 /** Own requests in flight at one target, corrected by what the target reports. */
-internal class TargetLoad(listed: Listed) {
+internal class TargetLoad(listed: Listed, now: Instant) {
     var entry: TargetEntry = listed.entry
         private set
     var doubtful: Boolean = listed.doubtful
@@ -28,8 +28,8 @@
     private var pausedUntil: Instant = Instant.DISTANT_PAST
     private var pause = ZERO
 
-    /** When the target last answered anything. */
-    var heardAt: Instant = Instant.DISTANT_PAST
+    /** When the target registered or last answered anything. */
+    var heardAt: Instant = now
         private set
 
     /** Takes a changed entry; a new incarnation starts with a clean record. */
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -11,6 +11,7 @@
 import burdockspread.forward.load.PoolStats
 import burdockspread.forward.load.ReportedLoad
 import burdockspread.forward.load.Settled
+import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Instant
@@ -36,6 +37,8 @@
 
     override fun cancel(ticket: Long) = Unit
 
+    override fun onLoss(target: TargetId, now: Instant): Boolean = false
+
     override fun flights(): FlightBook = this
 
     override fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) = Unit
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
@@ -20,6 +21,7 @@
 
 class LoadPolicyTest {
     private val now = Fixture.START
+    private val losses = ArrayList<TargetId>()
 
     @Test
     fun `work spreads over the runners and a copy goes to another failure domain`() {
@@ -81,6 +83,34 @@
         assertEquals("s1", next.id.value)
     }
 
+    @Test
+    fun `another host's loss keeps runs and copies away, and is passed on once`() {
+        val policy = engines("n1" to "north", "n2" to "north", "s1" to "south", "e1" to "east")
+        val later = now + 10.milliseconds
+        assertTrue(policy.onLoss(TargetId("s1"), later))
+        assertFalse(policy.onLoss(TargetId("s1"), later))
+        assertFalse(policy.onLoss(TargetId("unknown"), later))
+        val placed = (1L..4L).map { assertIs<Decision.Placed>(policy.submit(run(it), later)) }
+        val used = placed.flatMap { listOf(it.target.id, it.copyTo?.id) }
+        assertFalse(TargetId("s1") in used, "$used")
+    }
+
+    @Test
+    fun `a loss is told once, and a target that registers later is trusted`() {
+        val policy = engines("n1" to "north", "n2" to "north", "n3" to "north", "s1" to "south")
+        val later = now + 10.milliseconds
+        policy.submit(run(1), later)
+        policy.submit(run(2), later)
+        policy.flights().onEnded(1, FlightOutcome.BROKEN, later)
+        policy.flights().onEnded(2, FlightOutcome.BROKEN, later)
+        assertEquals(1, losses.size)
+        val fresh = listOf("n9" to "north", "s1" to "south")
+            .map { (name, domain) -> Listed(Fixture.target(name, domain = domain), false) }
+        policy.onTargets(Fixture.engineService(), fresh.toImmutableList(), later + 1.seconds)
+        val next = assertIs<Decision.Placed>(policy.submit(run(3), later + 1.seconds)).target
+        assertEquals("n9", next.id.value)
+    }
+
     @Test
     fun `a copy is made even when every other runner looks full`() {
         val policy = engines("n1" to "north", "s1" to "south")
@@ -175,7 +205,7 @@
         policy(Fixture.plainService(), names.map { Fixture.target(it, Fixture.DESK) })
 
     private fun policy(service: Service, targets: List<TargetEntry>, seed: Long = 7): LoadPolicy =
-        LoadPolicy.factory().create(FailureDomainId("north"), seed).apply {
+        LoadPolicy.factory().create(FailureDomainId("north"), seed) { losses += it.id }.apply {
             onTargets(service, targets.map { Listed(it, false) }.toImmutableList(), now)
         }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -1,18 +1,23 @@
 /** The process that forwards requests: wiring, start and planned stop. */
 package burdockspread.forward.host
 
+import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.http.Calls
 import burdockspread.forward.http.Connections
 import burdockspread.forward.http.Transport
 import burdockspread.forward.load.LoadPolicy
+import burdockspread.forward.load.LossListener
 import burdockspread.forward.news.HostNews
 import burdockspread.forward.news.PeerNews
 import burdockspread.id.FailureDomainId
+import burdockspread.id.ServiceId
+import burdockspread.id.TargetId
 import burdockspread.settings.ExitCode
 import burdockspread.settings.MonotonicTime
 import burdockspread.settings.toKotlin
 import burdockspread.store.KindFollower
 import burdockspread.wire.forward.NewsRequest
+import burdockspread.wire.forward.TargetLoss
 import burdockspread.wire.settings.ForwardSettings
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -52,6 +57,7 @@
         settings.retries,
         { peers.hosts },
         LoadPolicy.factory(),
+        LossListener(::tellLoss),
     )
     private val server =
         RequestServer(deployment, transport, clock, pools, { news.view }, metrics)
@@ -68,7 +74,7 @@
         val ready = SmallServer { path, _ -> ready(path) }
         transport.listen(transport.requests, settings.readyAddress, ready::onConnection)
         transport.listen(transport.requests, settings.callerAddress, server::onConnection)
-        val news = SmallServer(::peerNews)
+        val news = SmallServer(::peer)
         transport.listen(transport.control, settings.peerAddress, news::onConnection)
         val operators = SmallServer { path, _ -> operator(path) }
         transport.listen(transport.requests, settings.operatorAddress, operators::onConnection)
@@ -129,8 +135,32 @@
         else -> SmallAnswer(NOT_FOUND)
     }
 
-    private fun peerNews(path: String, body: ByteArray): SmallAnswer {
-        if (path != PeerNews.PATH) return SmallAnswer(NOT_FOUND)
+    /** Peers hear of a lost target at once: the platform's list keeps it for seconds. */
+    private fun tellLoss(target: TargetEntry) {
+        val loss = TargetLoss.newBuilder()
+            .setHost(settings.host.name)
+            .setService(target.service.value)
+            .setTarget(target.id.value)
+            .build()
+        scope.launch { peers.tell(loss) }
+    }
+
+    private fun peerLoss(body: ByteArray): SmallAnswer {
+        val loss = TargetLoss.parseFrom(body)
+        transport.requests.execute {
+            val policy = pools.pool(ServiceId(loss.service)).policy
+            if (policy.onLoss(TargetId(loss.target), clock.now())) scope.launch { peers.tell(loss) }
+        }
+        return SmallAnswer(OK)
+    }
+
+    private fun peer(path: String, body: ByteArray): SmallAnswer = when (path) {
+        PeerNews.PATH -> peerNews(body)
+        PeerNews.LOSS_PATH -> peerLoss(body)
+        else -> SmallAnswer(NOT_FOUND)
+    }
+
+    private fun peerNews(body: ByteArray): SmallAnswer {
         val request = NewsRequest.parseFrom(body)
         peers.onPeer(request.address)
         val reply = news.reply(request, peers.known()).toByteArray()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.forward.http.ExchangeRunner
 import burdockspread.forward.load.LoadPolicy
+import burdockspread.forward.load.LossListener
 import burdockspread.id.FailureDomainId
 import burdockspread.id.ServiceId
 import burdockspread.retry.RetryBudget
@@ -22,6 +23,7 @@
     private val retries: RetrySettings,
     private val hosts: () -> Int,
     private val factory: LoadPolicy.Factory,
+    private val losses: LossListener,
 ) {
     private val pools = HashMap<ServiceId, ServicePool>()
     private var applied: HostView? = null
@@ -31,7 +33,7 @@
     fun entries(): Map<ServiceId, ServicePool> = pools
 
     fun pool(service: ServiceId): ServicePool = pools.getOrPut(service) {
-        val policy = factory.create(domain, seed + service.value.hashCode())
+        val policy = factory.create(domain, seed + service.value.hashCode(), losses)
         // Half of the shared slack: a token bucket may spend its capacity within any window.
         val capacity = (retries.slack / (2 * hosts().coerceAtLeast(FEWEST_HOSTS))).coerceAtLeast(1)
         ServicePool(policy, RetryBudget(retries.ratio * SAFETY, capacity))
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -6,8 +6,11 @@
 import burdockspread.forward.http.Calls
 import burdockspread.time.TimeSource
 import burdockspread.wire.forward.NewsReply
+import burdockspread.wire.forward.TargetLoss
 import com.google.protobuf.InvalidProtocolBufferException
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -56,10 +59,19 @@
         }
     }
 
+    /** Tells a few peers of a lost target; each that had not heard of it tells a few more. */
+    public suspend fun tell(loss: TargetLoss): Unit = coroutineScope {
+        val request = CallRequest("POST", LOSS_PATH, loss.toByteArray(), PROTOBUF)
+        peers.shuffled(random).take(LOSS_FANOUT).forEach { peer ->
+            // A peer that does not answer hears of it from another one, or finds out by itself.
+            launch { calls.call(peer, request, CALL_TIMEOUT) }
+        }
+    }
+
     private suspend fun askOne() {
         val peer = peers.randomOrNull(random) ?: return
         val body = news.request(host, own).toByteArray()
-        val request = CallRequest("POST", PATH, body, "application/x-protobuf")
+        val request = CallRequest("POST", PATH, body, PROTOBUF)
         val result = calls.call(peer, request, CALL_TIMEOUT)
         if (result !is CallResult.Answer || result.status != OK) return
         val reply =
@@ -76,6 +88,13 @@
     public companion object {
         /** Path of the call at a host's peer address. */
         public const val PATH: String = "/peer/news"
+
+        /** Path of the call that tells of a lost target. */
+        public const val LOSS_PATH: String = "/peer/loss"
+        private const val PROTOBUF = "application/x-protobuf"
+
+        /** Peers told by each host; three reach all of 14 hosts, or of 130, with few repeats. */
+        private const val LOSS_FANOUT = 3
         private const val OK = 200
         private const val MOST_TOLD = 32
 
