--- a/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindFollower.kt
@@ -68,8 +68,8 @@
         /** A watch that gave answers for this long was no failure. */
         val HEALTHY_WATCH = 2.seconds
 
-        /** A tenth of the two seconds in which an edit has to be in force. */
-        val BATCHING = 200.milliseconds
+        /** A fifth of the two seconds in which an edit has to be in force. */
+        val BATCHING = 400.milliseconds
     }
 }
 
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindFollowerTest.kt
@@ -54,7 +54,7 @@
         val follower = launch { follower(store, Sink()).run() }
         delay(10.seconds)
         follower.cancel()
-        assertTrue(store.answers in 40..50, "${store.answers} answers in ten seconds")
+        assertTrue(store.answers in 20..30, "${store.answers} answers in ten seconds")
     }
 
     @Test
