Handle SIGHUP; take streams for one second while stopping

Change: SIGHUP reads the settings again (seeds are taken, the rest is named as needing a start), for every daemon; a stopping host takes streams for 1 s and calls for 3 s.

--- a/burdock-entry/src/main/kotlin/burdockspread/entry/Main.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/Main.kt
@@ -9,7 +9,7 @@
 /** Entry point of `burdock-entry`. */
 public fun main(args: Array<String>) {
     val about = "Serves callers: generations, plain services, and its share of the spread."
-    DaemonCommand("burdock-entry", about, entrySettings) { settings ->
+    DaemonCommand("burdock-entry", about, entrySettings) { settings, _ ->
         val process = EntryProcess(settings)
         runDaemon(process::start, process::drain, process::awaitStop)
     }.main(args)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -84,6 +84,17 @@
         log.onProcess("started", "${settings.host.name} in ${settings.host.failureDomain}")
     }
 
+    /**
+     * Takes settings that may change while the host runs: the seeds. Addresses and names need a
+     * start, which the log says.
+     */
+    public fun reload(changed: ForwardSettings) {
+        val same = changed.toBuilder().clearSeedPeers().build() ==
+            settings.toBuilder().clearSeedPeers().build()
+        log.onProcess("reloaded", if (same) "seeds taken" else "seeds taken, the rest at a start")
+        scope.launch { changed.seedPeersList.forEach(peers::onPeer) }
+    }
+
     /** Begins a planned stop: no longer ready, running requests are finished. */
     public fun drain() {
         if (stopping) return
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -118,10 +118,11 @@
         return runner.start()
     }
 
-    /** A new stream would not end in time; calls are short and are taken a while longer. */
+    /** A stream takes most of the grace; calls are short and are taken a while longer. */
     private fun stopRefusal(call: Call, now: Instant): Refusal? {
         val since = stoppingSince ?: return null
-        if (!call.route.kind.stream && now - since < TAKES_WHILE_STOPPING) return null
+        val takes = if (call.route.kind.stream) TAKES_STREAMS else TAKES_CALLS
+        if (now - since < takes) return null
         return Refusal(ErrorCode.DRAINING, "the host stops", RETRY_ELSEWHERE)
     }
 
@@ -167,7 +168,10 @@
         const val SWEEP_TICKS = 10
 
         /** The balancer needs two missed questions, a second apart, to send callers elsewhere. */
-        val TAKES_WHILE_STOPPING = 3.seconds
+        val TAKES_CALLS = 3.seconds
+
+        /** Streams of some six seconds fit into a grace of eight when they begin this early. */
+        val TAKES_STREAMS = 1.seconds
         val RETRY_ELSEWHERE = kotlin.time.Duration.parse("50ms")
 
         /** Bounds while no configuration is known. */
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/DaemonCommand.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/DaemonCommand.kt
@@ -13,6 +13,10 @@
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.path
 import com.google.protobuf.Message
+import org.apache.logging.log4j.LogManager
+
+/** Reads a daemon's settings again; null when they are not valid. */
+public typealias Reload<M> = () -> M?
 
 /**
  * A daemon's command line: `--config FILE` runs it, `check-config` after it only checks the file.
@@ -23,7 +27,7 @@
     name: String,
     private val about: String,
     private val loader: SettingsLoader<M>,
-    private val daemon: (M) -> ExitCode,
+    private val daemon: (M, Reload<M>) -> ExitCode,
 ) : CliktCommand(name) {
     init {
         versionOption(VERSION)
@@ -41,7 +45,7 @@
             ) {
                 accept()
             } else {
-                daemon(it)
+                daemon(it, ::reload)
             }
         }
         throw ProgramResult(exit.status)
@@ -52,6 +56,15 @@
         return ExitCode.SETTINGS_INVALID
     }
 
+    /** Reads the settings again; what is wrong with them is logged and the old ones stay. */
+    private fun reload(): M? = loader.load(config).fold(
+        { problems ->
+            problems.forEach { LogManager.getLogger("main").warn("{}: {}", config, it) }
+            null
+        },
+        { it },
+    )
+
     private fun accept(): ExitCode {
         echo("$config: valid")
         return ExitCode.OK
