--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/ExplainCommand.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/ExplainCommand.kt
@@ -9,7 +9,7 @@
 import java.nio.file.Path
 import kotlin.io.path.name
 
-/** `explain ID FILE...`: the request's decisions in order, what its hosts learnt then, the cause. */
+/** `explain ID FILE...`: the decisions on a request, what its hosts learnt then, the cause. */
 internal class ExplainCommand :
     CtlCommand("explain", "Tells what became of a request, from log files of one or more hosts.") {
     private val id by argument("ID")
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -52,7 +52,7 @@
     override val wakeAt: Instant
         get() {
             val attempt = current ?: return call.deadline
-            return minOf(call.deadline, attempt.checkAt())
+            return minOf(call.deadline, attempt.checkAt(call.route, options))
         }
 
     override fun start(now: Instant): ImmutableList<ExchangeEffect> = step {
@@ -153,7 +153,7 @@
             now >= call.deadline -> expire(now)
             run == null -> Unit
             late > TOLERATED_LATENESS -> run.heardAt = maxOf(run.heardAt, now - late)
-            now >= run.checkAt() -> onSilence(run, now)
+            now >= run.checkAt(call.route, options) -> onSilence(run, now)
         }
     }
 
@@ -221,7 +221,7 @@
             fail(run, FlightOutcome.FAILED, "silent for $silent", now)
             return
         }
-        val limit = run.patience()
+        val limit = run.patience(kind, options)
         if (limit != null && silent >= limit) {
             outlet.emit(ExchangeEffect.Drop(run.number))
             fail(run, FlightOutcome.SILENT, "silent for $silent", now)
@@ -335,23 +335,6 @@
         if (run != null && run.number == attempt) block(run)
     }
 
-    /** Instant at which the silence of this attempt has to be looked at. */
-    private fun Attempt.checkAt(): Instant {
-        if (!kind.stream) {
-            if (!kind.repeatable) return Instant.DISTANT_FUTURE
-            return heardAt + call.route.latencyObjective * options.silenceObjectives
-        }
-        val probe = maxOf(heardAt, probedAt) + options.probeAfter
-        return patience()?.let { minOf(probe, heardAt + it) } ?: probe
-    }
-
-    /** Pause between events that is taken for a loss, or null while none is due or allowed. */
-    private fun Attempt.patience(): Duration? = when {
-        events == 0 || !kind.repeatable -> null
-        copyTo != null -> options.copyPatience
-        else -> options.barePatience
-    }
-
     private companion object {
         const val SERVER_ERRORS = 500
         const val MISDIRECTED = 421
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -34,7 +34,7 @@
     /** The loop for the store and peers. */
     public val control: EventLoop = group.next() as EventLoop
 
-    /** Serves connections to [address] on [loop], an IP:port. Throws BindException when that is not possible. */
+    /** Serves [address], an IP:port, on [loop]. Throws BindException when that is not possible. */
     public fun listen(
         loop: EventLoop,
         address: String,
