--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -187,7 +187,7 @@
         val BALANCER_TIME: Duration = 3_500.milliseconds
 
         /** Left of the grace for ending what runs and for the end of the process. */
-        val STOP_MARGIN: Duration = 350.milliseconds
+        val STOP_MARGIN: Duration = 700.milliseconds
         val POLL: Duration = 50.milliseconds
     }
 }
