--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -9,11 +9,13 @@
 import burdockspread.forward.exchange.ExchangeListener
 import burdockspread.forward.load.FlightOutcome
 import burdockspread.forward.news.NewsListener
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 import kotlin.time.toJavaDuration
 
@@ -32,7 +34,7 @@
 
     /** Registers a figure that is read at each scrape. */
     fun gauge(name: String, read: () -> Number) {
-        io.micrometer.core.instrument.Gauge.builder(name, read).strongReference(true)
+        Gauge.builder(name, read).strongReference(true)
             .register(registry)
     }
 
@@ -132,7 +134,7 @@
     private companion object {
         /** Bounds of the histograms: the objectives of plain calls, pauses and first events. */
         val OBJECTIVES = longArrayOf(50, 100, 200, 400, 700, 1_500, 4_500, 25_000)
-            .map { java.time.Duration.ofMillis(it) }
+            .map { it.milliseconds.toJavaDuration() }
             .toTypedArray()
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -26,10 +26,11 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpVersion
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** All on the request loop, but for [stopTaking] and [openRequests]. */
+/** Admits and runs requests. All on the request loop, but for [stopTaking] and [openRequests]. */
 internal class RequestServer(
     private val deployment: Deployment,
     private val transport: Transport,
@@ -133,6 +134,8 @@
         if (pool.policy.stats(clock.now()).waiting > 0) transport.requests.execute(::poll)
     }
 
+    private var ticks = 0
+
     private fun tick() {
         val now = clock.now()
         pools.apply(view(), now)
@@ -140,8 +143,6 @@
         if (++ticks % SWEEP_TICKS == 0) callers.toList().forEach { it.sweep(now) }
     }
 
-    private var ticks = 0
-
     private fun poll(): Unit = pools.poll(clock.now())
 
     private fun probe(address: String, onResult: (Boolean) -> Unit) {
@@ -172,7 +173,7 @@
 
         /** Streams of some six seconds fit into a grace of eight when they begin this early. */
         val TAKES_STREAMS = 1.seconds
-        val RETRY_ELSEWHERE = kotlin.time.Duration.parse("50ms")
+        val RETRY_ELSEWHERE = 50.milliseconds
 
         /** Bounds while no configuration is known. */
         val FALLBACK_LIMITS = CallerLimits(16_384, 1_048_576, 3.seconds, 15.seconds)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -26,8 +26,10 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.ByteArrayOutputStream
+import java.util.Locale
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
@@ -290,7 +292,7 @@
         private fun bodyAllowed(status: Int) = status >= FIRST_WITH_BODY && status !in BODILESS
 
         private fun seconds(wait: Duration): String =
-            "%.3f".format(java.util.Locale.ROOT, wait.toDouble(DurationUnit.SECONDS))
+            "%.3f".format(Locale.ROOT, wait.toDouble(DurationUnit.SECONDS))
     }
 
     private companion object {
@@ -301,6 +303,6 @@
         val BODILESS = setOf(204, 304)
 
         /** Time for a body beyond that for the headers; the largest takes about 0.1 s. */
-        val BODY_TIME = kotlin.time.Duration.parse("10s")
+        val BODY_TIME = 10.seconds
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -17,6 +18,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -74,7 +76,7 @@
             .handler(initializer(onConnection))
             .connect(InetSocketAddress(ip, port))
             .addListener(
-                io.netty.channel.ChannelFutureListener {
+                ChannelFutureListener {
                     onResult(if (it.isSuccess) it.channel() else null)
                 },
             )
@@ -85,7 +87,7 @@
         group.shutdownGracefully(
             0,
             CLOSE_TIMEOUT_MILLIS,
-            java.util.concurrent.TimeUnit.MILLISECONDS,
+            TimeUnit.MILLISECONDS,
         )
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -4,8 +4,10 @@
 import arrow.core.Either
 import burdockspread.forward.catalog.Catalog
 import burdockspread.forward.directory.TargetDirectory
+import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.host.Deployment
 import burdockspread.forward.host.HostView
+import burdockspread.id.TargetId
 import burdockspread.store.KindSink
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
@@ -124,6 +126,7 @@
     public fun tick() {
         val now = clock.now()
         directory.expire(now)
+        stored.keys.retainAll(directory.entries().map { it.id.value }.toSet())
         publish(now)
     }
 
@@ -142,7 +145,7 @@
     private fun onDeleted(event: WatchEvent.Deleted, now: Instant) {
         if (event.key.kind != deployment.targetKind) return
         val regained = contacts[event.key.kind]?.regainedAt
-        val id = burdockspread.id.TargetId(event.key.name)
+        val id = TargetId(event.key.name)
         directory.onRemoved(id, event.version, regained, now)
         listener.onTargetGone(event.key.name, event.version)
     }
@@ -227,7 +230,7 @@
 
     public fun onCatalogUnreadable(version: Long, reason: String) {}
 
-    public fun onTarget(entry: burdockspread.forward.directory.TargetEntry, version: Long) {}
+    public fun onTarget(entry: TargetEntry, version: Long) {}
 
     public fun onTargetGone(name: String, version: Long) {}
 
