Look at a sample of a large pool; keep sums of memory; ask copies only where runners make them

Cause: each score sorted the whole pool twice (median latency and failure rate), so that one choice among n targets took n sorts of n figures, and memory was added up over all requests of a target. EngineShape.copies was decoded and never asked.

Change: what is usual is worked out once a choice; a choice looks at 64 targets of a pool at random and at the whole pool only when none of them has room; tokens are kept as sums. No copy is asked of runners that make none.

Test: LoadPolicyTest (the one free target of 1,000 is found; no copy without copies; sums return to zero).

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -39,6 +39,9 @@
      */
     public fun onLoss(target: TargetId, now: Instant): Boolean
 
+    /** Number of demands that wait. */
+    public val waiting: Int
+
     /** Records the events of a placed request. */
     public fun flights(): FlightBook
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -25,6 +25,9 @@
     FlightBook {
     private val random = Random(seed)
     private val targets = LinkedHashMap<TargetId, TargetLoad>()
+
+    /** The values of [targets], for access by index. */
+    private var pool: List<TargetLoad> = emptyList()
     private val placements = HashMap<Long, TargetId>()
     private val copies = HashMap<Long, TargetId>()
     private val queue = WaitingQueue()
@@ -38,6 +41,7 @@
         targets.forEach { listed ->
             this.targets.getOrPut(listed.entry.id) { TargetLoad(listed, now) }.onListed(listed)
         }
+        pool = this.targets.values.toList()
     }
 
     override fun submit(demand: Demand, now: Instant): Decision {
@@ -67,6 +71,8 @@
         queue.remove(ticket)
     }
 
+    override val waiting: Int get() = queue.size
+
     override fun flights(): FlightBook = this
 
     override fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
@@ -102,13 +108,14 @@
 
     private fun place(demand: Demand, now: Instant): Decision.Placed? {
         val chosen = choose(demand, now) ?: return null
-        val copyTo = if (demand.wantsCopy) copyTarget(demand, chosen, now) else null
+        val mayCopy = demand.wantsCopy && service?.engine?.copies == true
+        val copyTo = if (mayCopy) copyTarget(demand, chosen, now) else null
         val tokens = demand.promptTokens + demand.outputTokens
         placements[demand.ticket] = chosen.entry.id
-        chosen.add(demand.ticket, FlightLoad(chosen.entry.id, demand.promptTokens, tokens, now))
+        chosen.add(demand.ticket, FlightLoad(demand.promptTokens, tokens, now))
         if (copyTo != null) {
             copies[demand.ticket] = copyTo.entry.id
-            copyTo.add(demand.ticket, FlightLoad(copyTo.entry.id, 0, tokens, now, copy = true))
+            copyTo.add(demand.ticket, FlightLoad(promptTokens = 0, tokens, now))
         }
         return Decision.Placed(chosen.entry, copyTo?.entry)
     }
@@ -116,24 +123,32 @@
     private fun choose(demand: Demand, now: Instant): TargetLoad? {
         val preferred = demand.prefer?.let { targets[it] }
         if (preferred != null && !preferred.paused(now)) return preferred
-        val open = targets.values.filter {
-            it.entry.id !in demand.avoid && hasRoom(it, demand, now)
-        }
-        val calm = open.filterNot { it.paused(now) || it.doubtful }
-        val last = { open.filterNot { it.paused(now) }.ifEmpty { lastResort(demand) } }
+        val sample = sample()
+        return chooseFrom(sample, demand, now)
+            ?: if (sample.size < pool.size) chooseFrom(pool, demand, now) else null
+    }
+
+    /** All of a small pool, a random part of a large one; both may be searched again as a whole. */
+    private fun sample(): List<TargetLoad> =
+        if (pool.size <= SAMPLE) pool else List(SAMPLE) { pool[random.nextInt(pool.size)] }
+
+    private fun chooseFrom(open: List<TargetLoad>, demand: Demand, now: Instant): TargetLoad? {
+        val fit = open.filter { it.entry.id !in demand.avoid && hasRoom(it, demand, now) }
+        val calm = fit.filterNot { it.paused(now) || it.doubtful }
+        val last = { fit.filterNot { it.paused(now) }.ifEmpty { lastResort(demand) } }
         return pick(calm.ifEmpty(last), now)
     }
 
     /** Targets that failed this request or do not answer, when the pool has nothing else. */
     private fun lastResort(demand: Demand): List<TargetLoad> =
-        if (targets.size <= demand.avoid.size) targets.values.toList() else emptyList()
+        if (pool.size <= demand.avoid.size) pool else emptyList()
 
     /**
      * Another target for the copy, in another failure domain where there is one. A target without
      * room keeps less of the copy, or none, so room counts only by the score.
      */
     private fun copyTarget(demand: Demand, run: TargetLoad, now: Instant): TargetLoad? {
-        val open = targets.values.filter {
+        val open = sample().filter {
             it !== run && it.entry.id !in demand.avoid && !it.doubtful && !it.paused(now)
         }
         val apart = open.filter { it.entry.failureDomain != run.entry.failureDomain }
@@ -145,14 +160,29 @@
      * same target, and a target that nobody has heard of lately must not look empty to all.
      */
     private fun pick(open: List<TargetLoad>, now: Instant): TargetLoad? {
-        val usual = open.mapNotNull { it.reportedOthers(now, fade()) }.average()
-        val scored = open.map { Scored(it, score(it, if (usual.isNaN()) 0.0 else usual, now)) }
+        val usual = usual(open, now)
+        val scored = open.map { Scored(it, score(it, usual, now)) }
         val best = scored.minOfOrNull { it.score } ?: return null
         return scored.filter { it.score <= best + NEARLY_BEST }.random(random).target
     }
 
     private class Scored(val target: TargetLoad, val score: Double)
 
+    /** What is usual among the targets that a decision looks at. */
+    private class Usual(val othersLoad: Double, val latency: Double, val failureRate: Double)
+
+    private fun usual(open: List<TargetLoad>, now: Instant): Usual {
+        val others = open.mapNotNull { it.reportedOthers(now, fade()) }
+        return Usual(
+            othersLoad = if (others.isEmpty()) 0.0 else others.average(),
+            latency = median(open.map { it.meanLatency }.filter { it > 0.0 }),
+            failureRate = median(open.map { it.failureRate }),
+        )
+    }
+
+    private fun median(figures: List<Double>): Double =
+        if (figures.isEmpty()) 0.0 else figures.sorted()[figures.size / 2]
+
     private fun hasRoom(target: TargetLoad, demand: Demand, now: Instant): Boolean {
         val engine = service?.engine
         val others = target.reportedOthers(now, fade()) ?: 0.0
@@ -163,14 +193,14 @@
         return target.own + others < engine.slots && used + tokens <= room
     }
 
-    private fun score(target: TargetLoad, usual: Double, now: Instant): Double {
+    private fun score(target: TargetLoad, usual: Usual, now: Instant): Double {
         val far = if (target.entry.failureDomain == ownDomain) 0.0 else options.crossDomainScore
-        val load = target.own + target.others(now, fade(), usual)
+        val load = target.own + target.others(now, fade(), usual.othersLoad)
         val reading = target.unreadTokens / READING_TOKENS
-        val excess = (target.failureRate - failureBaseline()).coerceAtLeast(0.0)
+        val excess = (target.failureRate - usual.failureRate).coerceAtLeast(0.0)
         val sick = excess * options.failureScore
         val dark = if (mayBeSilent(target, now)) options.domainScore else 0.0
-        return (load + 1) * slowness(target) + reading + far + sick + dark
+        return (load + 1) * slowness(target, usual) + reading + far + sick + dark
     }
 
     /** Targets of one failure domain often fail together, with their rack or their links. */
@@ -179,17 +209,10 @@
         return now - since < DOMAIN_DOUBT && target.heardAt <= since
     }
 
-    /** How much longer than the pool's median a target takes; 1 where nothing is known. */
-    private fun slowness(target: TargetLoad): Double {
-        val known = targets.values.map { it.meanLatency }.filter { it > 0.0 }.sorted()
-        if (known.isEmpty() || target.meanLatency == 0.0) return 1.0
-        return (target.meanLatency / known[known.size / 2]).coerceIn(1.0, MAX_SLOWNESS)
-    }
-
-    /** Failure rate that is usual in this pool. */
-    private fun failureBaseline(): Double {
-        val rates = targets.values.map { it.failureRate }.sorted()
-        return if (rates.isEmpty()) 0.0 else rates[rates.size / 2]
+    /** How much longer than usual a target takes; 1 where nothing is known. */
+    private fun slowness(target: TargetLoad, usual: Usual): Double {
+        if (usual.latency == 0.0 || target.meanLatency == 0.0) return 1.0
+        return (target.meanLatency / usual.latency).coerceIn(1.0, MAX_SLOWNESS)
     }
 
     private fun fade(): Duration = if (service?.engine == null) PLAIN_FADE else ENGINE_FADE
@@ -212,6 +235,9 @@
         /** Requests per slot up to which a plain service is sent more. */
         const val PLAIN_DEPTH = 2.0
 
+        /** Targets that a decision looks at; the best of 64 is near the best of any pool. */
+        const val SAMPLE = 64
+
         /** Unread prompt tokens that weigh as much as one running request. */
         const val READING_TOKENS = 2_000.0
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -3,7 +3,6 @@
 
 import burdockspread.forward.directory.Listed
 import burdockspread.forward.directory.TargetEntry
-import burdockspread.id.TargetId
 import kotlin.math.max
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
@@ -49,10 +48,12 @@
     val failureRate: Double get() = failures
 
     /** Tokens of memory that own requests and their copies need here. */
-    val ownTokens: Int get() = flights.values.sumOf { it.tokens }
+    var ownTokens: Int = 0
+        private set
 
     /** Prompt tokens of own requests that have not begun to answer. */
-    val unreadTokens: Int get() = flights.values.sumOf { if (it.answering) 0 else it.promptTokens }
+    var unreadTokens: Int = 0
+        private set
 
     /** Requests of other hosts: what was reported last, fading to [usual], that of the pool. */
     fun others(now: Instant, fade: Duration, usual: Double): Double {
@@ -71,11 +72,12 @@
 
     fun add(ticket: Long, flight: FlightLoad) {
         flights[ticket] = flight
+        ownTokens += flight.tokens
+        unreadTokens += flight.unread
     }
 
     fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
-        val flight = flights[ticket]
-        flight?.answering = true
+        flights[ticket]?.let(::read)
         heardAt = now
         if (load == null) return
         others = max(0.0, (load.running + load.waiting - flights.size).toDouble())
@@ -83,7 +85,7 @@
     }
 
     fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant) {
-        val flight = flights.remove(ticket) ?: return
+        val flight = take(ticket) ?: return
         when (outcome) {
             FlightOutcome.DONE -> {
                 failures *= 1.0 - WEIGHT
@@ -100,7 +102,19 @@
         }
     }
 
-    fun remove(ticket: Long): Boolean = flights.remove(ticket) != null
+    fun remove(ticket: Long): Boolean = take(ticket) != null
+
+    private fun take(ticket: Long): FlightLoad? {
+        val flight = flights.remove(ticket) ?: return null
+        read(flight)
+        ownTokens -= flight.tokens
+        return flight
+    }
+
+    private fun read(flight: FlightLoad) {
+        unreadTokens -= flight.unread
+        flight.unread = 0
+    }
 
     /** Leaves the target out for a while, longer each time until it gives a whole answer. */
     fun lengthenPause(now: Instant) {
@@ -121,12 +135,7 @@
 }
 
 /** What one request, or the copy of one, takes of a target. */
-internal class FlightLoad(
-    val target: TargetId,
-    val promptTokens: Int,
-    val tokens: Int,
-    val since: Instant,
-    val copy: Boolean = false,
-) {
-    var answering: Boolean = copy
+internal class FlightLoad(promptTokens: Int, val tokens: Int, val since: Instant) {
+    /** Prompt tokens that the target has not read yet. */
+    var unread: Int = promptTokens
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -39,6 +39,8 @@
 
     override fun onLoss(target: TargetId, now: Instant): Boolean = false
 
+    override val waiting: Int = 0
+
     override fun flights(): FlightBook = this
 
     override fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) = Unit
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -2,6 +2,7 @@
 
 import burdockspread.error.ErrorCode
 import burdockspread.forward.Fixture
+import burdockspread.forward.catalog.EngineShape
 import burdockspread.forward.catalog.Service
 import burdockspread.forward.directory.Listed
 import burdockspread.forward.directory.TargetEntry
@@ -15,6 +16,7 @@
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -178,6 +180,34 @@
         assertEquals("n2", assertIs<Decision.Placed>(policy.submit(avoiding, now)).target.id.value)
     }
 
+    @Test
+    fun `the one target of a large pool that has room is found`() {
+        val full = (1..999).map { Fixture.target("full$it", Fixture.DESK, slots = 0) }
+        val free = Fixture.target("free", Fixture.DESK)
+        val policy = policy(Fixture.plainService(), full + free)
+        assertEquals(free, assertIs<Decision.Placed>(policy.submit(call(1), now)).target)
+    }
+
+    @Test
+    fun `no copy is asked of runners that make none`() {
+        val bare = Service(Fixture.DRAFTS, 300, EngineShape(12, 55_000, copies = false))
+        val runners = listOf("n1" to "north", "s1" to "south")
+        val policy =
+            policy(bare, runners.map { (name, where) -> Fixture.target(name, domain = where) })
+        assertNull(assertIs<Decision.Placed>(policy.submit(run(1), now)).copyTo)
+    }
+
+    @Test
+    fun `memory is free again after a run and its copy`() {
+        val policy = engines("n1" to "north", "s1" to "south")
+        repeat(50) { round ->
+            val tickets = (1L..8L).map { round * 8L + it }
+            tickets.forEach { assertIs<Decision.Placed>(policy.submit(run(it), now)) }
+            tickets.forEach { policy.flights().onHead(it, null, now) }
+            tickets.forEach { policy.flights().onEnded(it, FlightOutcome.DONE, now) }
+        }
+    }
+
     @Test
     fun `without any target a request is refused at once`() {
         val policy = plain()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -131,7 +131,7 @@
         if (!runner.exchange.ended) return
         val pool = pools.pool(runner.exchange.call.service)
         if (pool.running.remove(runner.exchange.call.ticket) != null) openRequests--
-        if (pool.policy.stats(clock.now()).waiting > 0) transport.requests.execute(::poll)
+        if (pool.policy.waiting > 0) transport.requests.execute(::poll)
     }
 
     private var ticks = 0
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -61,9 +61,6 @@
         return sent
     }
 
-    /** Number of idle connections. */
-    public fun idleCount(): Int = idle.values.sumOf { it.size }
-
     private fun install(channel: SocketChannel) {
         val decoder = AnswerDecoder()
         channel.pipeline().addLast(HttpRequestEncoder(), decoder, Receiver(decoder))
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -79,10 +79,12 @@
     /** Whether peers should be asked, because the store does not keep this host up to date. */
     public fun needsPeers(now: Instant): Boolean {
         val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
-        return kinds.any { kind ->
-            val contact = contacts[kind]
-            contact == null || contact.lost || now - contact.heardAt > SILENCE
-        }
+        return kinds.any { !inTouch(it, now) }
+    }
+
+    private fun inTouch(kind: String, now: Instant): Boolean {
+        val contact = contacts[kind] ?: return false
+        return !contact.lost && now - contact.heardAt <= SILENCE
     }
 
     /** What this host asks of a peer. */
@@ -152,15 +154,9 @@
 
     private fun onTarget(value: StoredObject) {
         keep(value)
-        val entry = deployment.target(value)
-        if (entry ==
-            null
-        ) {
-            directory.onProgress(value.version)
-        } else {
-            directory.onEntry(entry, value.version)
-        }
-        if (entry != null) listener.onTarget(entry, value.version)
+        val entry = deployment.target(value) ?: return directory.onProgress(value.version)
+        directory.onEntry(entry, value.version)
+        listener.onTarget(entry, value.version)
     }
 
     private fun keep(value: StoredObject) {
@@ -186,8 +182,7 @@
     }
 
     private fun publish(now: Instant) {
-        val contact = contacts[deployment.catalogKey.kind]
-        val direct = contact != null && !contact.lost && now - contact.heardAt <= SILENCE
+        val direct = inTouch(deployment.catalogKey.kind, now)
         val known = if (directory.version == view.directory.version) view.directory else null
         val next = directory.view()
         val same = known != null && known.services == next.services
