Let a few hosts of a failure domain watch the store and the others follow them

Cause: every host kept two watches of its own.

Change: RelayFollowing (no input or output) ranks the hosts of a domain by rendezvous hashing (RelayChoice, moved to burdock-core): one relay up to eight hosts, two beyond. Followers ask a relay and wait there up to 0.8 s; the answer carries only what changed since (ChangeJournal), and says whether the store itself keeps the relay up to date. A relay that does not answer within 1.15 s, or is turned away, is replaced by the next one, and the follower watches by itself at once until one is up to date. Versions only rise as before, and a relay that is behind brings nothing back. The state dump shows watchesStore; a line is logged at each change.

Ruled out: longer waits of the watches, since changes and not waits make the calls.

Test: RelayFollowingTest, ChangeJournalTest, TargetDirectoryTest, HostNewsTest (virtual time), RelayHostsTest (three hosts on loopback; the relay falls silent).

--- a/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayChoice.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/RelayChoice.kt
@@ -1,5 +1,5 @@
 /** Chooses the hosts that watch the store. */
-package burdockspread.document.relay
+package burdockspread.store
 
 import burdockspread.id.HostId
 import java.util.zip.CRC32C
@@ -16,11 +16,12 @@
     public const val RELAYS_PER_DOMAIN: Int = 2
 
     /** Whether [self] watches the store, given the [live] hosts of its failure domain. */
-    public fun isRelay(self: HostId, live: Collection<HostId>): Boolean {
-        val hosts = (live + self).distinct()
-        val chosen = hosts.sortedWith(compareBy({ hash(it.value) }, { it.value }))
-        return self in chosen.take(RELAYS_PER_DOMAIN)
-    }
+    public fun isRelay(self: HostId, live: Collection<HostId>): Boolean =
+        self in ranked(live + self).take(RELAYS_PER_DOMAIN)
+
+    /** The hosts of one failure domain in the order in which they become relays. */
+    public fun ranked(hosts: Collection<HostId>): List<HostId> =
+        hosts.distinct().sortedWith(compareBy({ hash(it.value) }, { it.value }))
 
     /** A wait below [window] that differs between hosts and tries but not between runs. */
     public fun jitter(self: HostId, attempt: Int, window: Duration): Duration =
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/relay/DocumentRelay.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/DocumentRelay.kt
@@ -7,6 +7,7 @@
 import burdockspread.id.HostId
 import burdockspread.store.ObjectStore
 import burdockspread.store.ReadResult
+import burdockspread.store.RelayChoice
 import burdockspread.store.StoredObject
 import burdockspread.store.WatchEvent
 import kotlinx.coroutines.delay
--- a/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
+++ b/burdock-document-core/src/test/kotlin/burdockspread/document/relay/DocumentRelayTest.kt
@@ -11,6 +11,7 @@
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
 import burdockspread.store.ReadResult
+import burdockspread.store.RelayChoice
 import burdockspread.store.WatchEvent
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -5,7 +5,6 @@
 import burdockspread.document.DocumentHolder
 import burdockspread.document.DocumentView
 import burdockspread.document.VersionedEntry
-import burdockspread.document.relay.RelayChoice
 import burdockspread.generation.OpenGenerations
 import burdockspread.health.DomainSummary
 import burdockspread.id.FailureDomainId
@@ -43,6 +42,7 @@
 import burdockspread.spread.EntryKind
 import burdockspread.spread.Peer
 import burdockspread.spread.SpreadSettings
+import burdockspread.store.RelayChoice
 import burdockspread.stream.CopySender
 import burdockspread.stream.GenerationSession
 import burdockspread.stream.ReturnFinder
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -20,7 +20,10 @@
  * Entries lapse while the store is away although their targets live; so what a listing after an
  * outage lacks is kept as doubtful for [regainGrace] and is gone only then.
  */
-public class TargetDirectory(private val regainGrace: Duration = REGAIN_GRACE) {
+public class TargetDirectory(
+    private val regainGrace: Duration = REGAIN_GRACE,
+    private val onChanged: (TargetId) -> Unit = {},
+) {
     private var held = persistentMapOf<TargetId, Held>()
 
     /** Store version up to which the directory knows the targets. */
@@ -32,7 +35,7 @@
         if (at < version) return
         version = at
         val listed = entries.associateBy { it.id }
-        listed.values.forEach(::merge)
+        listed.values.forEach { merge(it, at) }
         (held.keys - listed.keys).forEach { id -> doubt(id, now) }
     }
 
@@ -40,7 +43,24 @@
     public fun onEntry(entry: TargetEntry, at: Long) {
         if (at <= version) return
         version = at
-        merge(entry)
+        merge(entry, at)
+    }
+
+    /**
+     * Takes what changed in the directory of a peer that knows the targets as of [at]. A target that
+     * is not held and is no newer than [version] has gone since, and does not come back.
+     */
+    public fun onChanges(changes: List<TargetChange>, at: Long) {
+        changes.forEach { change ->
+            val before = held[change.id]
+            val entry = change.entry
+            when {
+                entry == null -> if (before != null && before.asOf <= at) remove(change.id)
+                change.version > version -> merge(entry, change.version)
+                before != null && before.asOf <= change.version -> merge(entry, change.version)
+            }
+        }
+        onProgress(at)
     }
 
     /**
@@ -51,7 +71,7 @@
         if (at <= version) return
         version = at
         val lapsed = regainedAt != null && now - regainedAt < regainGrace
-        if (lapsed) doubt(id, now) else held = held.remove(id)
+        if (lapsed) doubt(id, now) else remove(id)
     }
 
     /** Advances the version when the store tells that nothing else has changed. */
@@ -64,7 +84,7 @@
         val gone = held.values.filter {
             it.doubtSince != null && now - it.doubtSince >= regainGrace
         }
-        gone.forEach { held = held.remove(it.entry.id) }
+        gone.forEach { remove(it.entry.id) }
         return gone.isNotEmpty()
     }
 
@@ -86,23 +106,35 @@
         )
     }
 
-    private fun merge(entry: TargetEntry) {
+    private fun remove(id: TargetId) {
+        if (id !in held) return
+        held = held.remove(id)
+        onChanged(id)
+    }
+
+    private fun merge(entry: TargetEntry, at: Long) {
         val before = held[entry.id]?.entry
         if (before != null && before.bornMillis > entry.bornMillis) return
         held.values.map { it.entry }
             .filter { it.address == entry.address && it.id != entry.id }
             .filter { it.bornMillis < entry.bornMillis }
-            .forEach { held = held.remove(it.id) }
+            .forEach { remove(it.id) }
         val leaving = entry.leaving || (before?.sameIncarnation(entry) == true && before.leaving)
-        held = held.put(entry.id, Held(entry.copy(leaving = leaving), null))
+        val known = held[entry.id]
+        val next = Held(entry.copy(leaving = leaving), at, null)
+        held = held.put(entry.id, next)
+        if (known?.entry != next.entry || known.doubtSince != null) onChanged(entry.id)
     }
 
     private fun doubt(id: TargetId, now: Instant) {
         val before = held[id] ?: return
-        if (before.doubtSince == null) held = held.put(id, before.copy(doubtSince = now))
+        if (before.doubtSince != null) return
+        held = held.put(id, before.copy(doubtSince = now))
+        onChanged(id)
     }
 
-    private data class Held(val entry: TargetEntry, val doubtSince: Instant?)
+    /** An entry as of a store version; doubtful since [doubtSince], if at all. */
+    private data class Held(val entry: TargetEntry, val asOf: Long, val doubtSince: Instant?)
 
     public companion object {
         /** Time after the store's return within which lapsed entries are back. */
@@ -125,5 +157,12 @@
     }
 }
 
+/** A target that changed at a store version; without [entry] it is gone. */
+public data class TargetChange(
+    public val id: TargetId,
+    public val entry: TargetEntry?,
+    public val version: Long,
+)
+
 /** A target of a view; a [doubtful] one is missing from the store since an outage. */
 public data class Listed(public val entry: TargetEntry, public val doubtful: Boolean)
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
@@ -64,6 +64,33 @@
         assertEquals(listOf("b"), usable())
     }
 
+    @Test
+    fun `changes of a peer count only where they are newer than what is known`() {
+        directory.onListing(listOf(Fixture.target("a"), Fixture.target("b")), 5, now)
+        val gone = TargetId("gone")
+        val changes = listOf(
+            TargetChange(gone, Fixture.target("gone"), 4),
+            TargetChange(TargetId("a"), null, 6),
+            TargetChange(TargetId("c"), Fixture.target("c"), 7),
+        )
+        directory.onChanges(changes, 7)
+        assertEquals(listOf("b", "c"), usable())
+        directory.onChanges(listOf(TargetChange(TargetId("c"), null, 6)), 6)
+        assertEquals(listOf("b", "c"), usable())
+    }
+
+    @Test
+    fun `each change is told once`() {
+        val told = ArrayList<String>()
+        val watched = TargetDirectory { told += it.value }
+        watched.onListing(listOf(Fixture.target("a")), 5, now)
+        watched.onListing(listOf(Fixture.target("a")), 6, now)
+        watched.onEntry(Fixture.target("a", leaving = true), 7)
+        watched.onListing(emptyList(), 8, now)
+        watched.expire(now + 2.seconds)
+        assertEquals(listOf("a", "a", "a", "a"), told)
+    }
+
     private fun usable() =
         directory.view().services.values.flatten().map { it.entry.id.value }.sorted()
 }
--- /dev/null
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/relay/RelayFollowingTest.kt
@@ -0,0 +1,59 @@
+package burdockspread.forward.relay
+
+import burdockspread.forward.Fixture
+import burdockspread.id.HostId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class RelayFollowingTest {
+    private val now = Fixture.START
+
+    @Test
+    fun `a host that knows no other one watches the store`() {
+        assertTrue(RelayFollowing(HostId("h1")).relays(now).isEmpty())
+    }
+
+    @Test
+    fun `one host of a small domain watches, two of a large one, and all agree on them`() {
+        assertEquals(1, watching(hosts(5)).size)
+        assertEquals(2, watching(hosts(30)).size)
+        val followed = hosts(30).map { it.relays(now) }.filter { it.isNotEmpty() }.toSet()
+        assertEquals(1, followed.size)
+    }
+
+    @Test
+    fun `the next host takes over for a relay that does not answer`() {
+        val hosts = hosts(5)
+        val relay = hosts.first { it.relays(now).isNotEmpty() }.relays(now).single()
+        hosts.forEach { it.onFailed(relay, now) }
+        val next = hosts.filter { it.relays(now).isNotEmpty() }.flatMap { it.relays(now) }.toSet()
+        assertEquals(1, next.size)
+        assertNotEquals(relay, next.single())
+    }
+
+    @Test
+    fun `a relay that failed is asked again, ever less often until it answers`() {
+        val host = hosts(5).first { it.relays(now).isNotEmpty() }
+        val relay = host.relays(now).single()
+        host.onFailed(relay, now)
+        assertFalse(relay in host.relays(now + 1.seconds))
+        assertEquals(listOf(relay), host.relays(now + 2.seconds))
+        host.onFailed(relay, now + 2.seconds)
+        assertFalse(relay in host.relays(now + 5.seconds))
+        assertEquals(listOf(relay), host.relays(now + 6.seconds))
+        host.onFollowed(relay)
+        host.onFailed(relay, now + 7.seconds)
+        assertEquals(listOf(relay), host.relays(now + 9.seconds))
+    }
+
+    private fun hosts(count: Int): List<RelayFollowing> {
+        val ids = (1..count).map { HostId("h$it") }
+        return ids.map { id -> RelayFollowing(id).apply { onHosts(ids) } }
+    }
+
+    private fun watching(hosts: List<RelayFollowing>) = hosts.filter { it.relays(now).isEmpty() }
+}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -10,6 +10,7 @@
 import burdockspread.forward.news.HostNews
 import burdockspread.forward.news.PeerNews
 import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
 import burdockspread.id.ServiceId
 import burdockspread.id.TargetId
 import burdockspread.settings.ExitCode
@@ -19,11 +20,13 @@
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetLoss
 import burdockspread.wire.settings.ForwardSettings
+import com.google.protobuf.InvalidProtocolBufferException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.random.Random
@@ -71,12 +74,12 @@
     /** Opens the ports and begins to follow the store. */
     public fun start() {
         follow()
-        val ready = SmallServer { path, _ -> ready(path) }
+        val ready = SmallServer { path, _, reply -> reply(ready(path)) }
         transport.listen(transport.requests, settings.readyAddress, ready::onConnection)
         transport.listen(transport.requests, settings.callerAddress, server::onConnection)
         val news = SmallServer(::peer)
         transport.listen(transport.control, settings.peerAddress, news::onConnection)
-        val operators = SmallServer { path, _ -> operator(path) }
+        val operators = SmallServer { path, _, reply -> reply(operator(path)) }
         transport.listen(transport.requests, settings.operatorAddress, operators::onConnection)
         metrics.gauge("burdock_forward_open_requests") { server.openRequests }
         metrics.gauge("burdock_forward_hosts") { peers.hosts }
@@ -108,13 +111,26 @@
     public suspend fun awaitStop(): ExitCode = stopped.await()
 
     private fun follow() {
-        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
-        kinds.forEach { kind -> scope.launch { KindFollower(kind, store, news, clock).run() } }
+        val self = settings.host
+        val domain = FailureDomainId(self.failureDomain)
+        val following = Following(HostId(self.name), domain, news, peers, clock, scope, ::watch)
+        scope.launch { following.run() }
         scope.launch { peers.run() }
-        val list = HostList(settings.host.name, settings.peerAddress, store, peers)
+        val list = HostList(
+            self.name,
+            self.failureDomain,
+            settings.peerAddress,
+            store,
+            following::onListed,
+        )
         scope.launch { list.run() }
     }
 
+    private suspend fun watch(): Unit = coroutineScope {
+        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
+        kinds.forEach { kind -> launch { KindFollower(kind, store, news, clock).run() } }
+    }
+
     private suspend fun finish() {
         val start = clock.now()
         val limit = settings.stopGrace.toKotlin() - STOP_MARGIN
@@ -139,8 +155,10 @@
     private fun operator(path: String): SmallAnswer = when (path) {
         "/metrics" -> SmallAnswer(OK, metrics.scrape().encodeToByteArray())
         "/state" -> {
+            val now = clock.now()
             val peers = peers.known()
-            val dump = stateDump(news.view, pools, peers, server.openRequests, clock.now())
+            val watches = news.watches(now)
+            val dump = stateDump(news.view, pools, peers, server.openRequests, watches, now)
             SmallAnswer(OK, dump.toString().encodeToByteArray(), "application/json")
         }
         else -> SmallAnswer(NOT_FOUND)
@@ -165,21 +183,32 @@
         return SmallAnswer(OK)
     }
 
-    private fun peer(path: String, body: ByteArray): SmallAnswer = when (path) {
-        PeerNews.PATH -> peerNews(body)
-        PeerNews.LOSS_PATH -> peerLoss(body)
-        else -> SmallAnswer(NOT_FOUND)
+    private fun peer(path: String, body: ByteArray, reply: (SmallAnswer) -> Unit) {
+        try {
+            when (path) {
+                PeerNews.PATH -> peerNews(NewsRequest.parseFrom(body), reply)
+                PeerNews.LOSS_PATH -> reply(peerLoss(body))
+                else -> reply(SmallAnswer(NOT_FOUND))
+            }
+        } catch (e: InvalidProtocolBufferException) {
+            log.onProcess("peer_unreadable", "$path: ${e.message}")
+            reply(SmallAnswer(BAD_REQUEST))
+        }
     }
 
-    private fun peerNews(body: ByteArray): SmallAnswer {
-        val request = NewsRequest.parseFrom(body)
+    private fun peerNews(request: NewsRequest, reply: (SmallAnswer) -> Unit) {
         peers.onPeer(request.address)
-        val reply = news.reply(request, peers.known()).toByteArray()
-        return SmallAnswer(OK, reply, "application/x-protobuf")
+        scope.launch {
+            if (request.waitMillis > 0) news.awaitNews(request)
+            val known = if (request.waitMillis > 0) emptyList() else peers.known()
+            val body = news.reply(request, known).toByteArray()
+            reply(SmallAnswer(OK, body, "application/x-protobuf"))
+        }
     }
 
     private companion object {
         const val OK = 200
+        const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -1,13 +1,15 @@
 /** The hosts of the system, as they register themselves in the store. */
 package burdockspread.forward.host
 
-import burdockspread.forward.news.PeerNews
+import burdockspread.id.FailureDomainId
+import burdockspread.id.HostId
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
 import burdockspread.store.ReadResult
 import burdockspread.store.ResolvedWrite
 import burdockspread.store.ResolvingStore
+import burdockspread.store.StoredObject
 import burdockspread.store.WriteCondition
 import kotlinx.coroutines.delay
 import org.apache.logging.log4j.LogManager
@@ -15,22 +17,24 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Registers this host under [name] and keeps [peers] up to date by listing the others now and
- * then. Hosts that were lost stay listed: an address that does not answer costs a peer's question.
+ * Registers this host under [name] and lists the others now and then for [onListed]. Hosts that were lost stay listed: an address that does not answer costs a peer's question.
  */
 internal class HostList(
     private val name: String,
+    private val domain: String,
     private val address: String,
     private val store: ObjectStore,
-    private val peers: PeerNews,
+    private val onListed: (List<ListedHost>) -> Unit,
 ) {
     private val resolving = ResolvingStore(store)
     private val key = ObjectKey(KIND, name)
-    private val value = "{\"address\":\"$address\"}"
+    private val value = "{\"address\":\"$address\",\"failureDomain\":\"$domain\"}"
 
     /** Runs until it is cancelled. */
     suspend fun run() {
         while (!register()) delay(RETRY)
+        list()
+        delay(FIRST_INTERVAL)
         while (true) {
             list()
             delay(LIST_INTERVAL)
@@ -42,7 +46,7 @@
             is ReadResult.Unavailable -> return false
             is ReadResult.Missing -> WriteCondition.Absent
             is ReadResult.Found -> {
-                if (address in read.value.value) return true
+                if (read.value.value == value) return true
                 WriteCondition.AtVersion(read.value.version)
             }
         }
@@ -59,17 +63,33 @@
     private suspend fun list() {
         val listed = store.listCached(KIND)
         if (listed !is ListResult.Listed) return
-        val found = listed.objects.mapNotNull { ADDRESS.find(it.value)?.groupValues?.get(1) }
-        peers.onListed(found)
+        onListed(listed.objects.mapNotNull(::host))
+    }
+
+    private fun host(stored: StoredObject): ListedHost? {
+        val peer = ADDRESS.find(stored.value)?.groupValues?.get(1) ?: return null
+        val where = DOMAIN.find(stored.value)?.groupValues?.get(1).orEmpty()
+        return ListedHost(HostId(stored.key.name), FailureDomainId(where), peer)
     }
 
     private companion object {
         const val KIND = "forward-hosts"
         val ADDRESS = Regex("\"address\"\\s*:\\s*\"([0-9.:]+)\"")
+        val DOMAIN = Regex("\"failureDomain\"\\s*:\\s*\"([^\"]+)\"")
         val RETRY: Duration = 3.seconds
 
+        /** Hosts that start together have registered by then. */
+        val FIRST_INTERVAL: Duration = 4.seconds
+
         /** Peers are needed only when the store is away; half a minute old is new enough. */
         val LIST_INTERVAL: Duration = 30.seconds
         val log = LogManager.getLogger(HostList::class.java)
     }
 }
+
+/** A host of the system as it registered itself; [peerAddress] is an IP:port. */
+internal data class ListedHost(
+    val id: HostId,
+    val failureDomain: FailureDomainId,
+    val peerAddress: String,
+)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/SmallServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/SmallServer.kt
@@ -22,8 +22,13 @@
     val contentType: String = "text/plain",
 )
 
-/** Serves [answer] on the connections of a port. [answer] gets the path and the body. */
-internal class SmallServer(private val answer: (String, ByteArray) -> SmallAnswer) {
+/** Answers the question at a path, at once or later, by calling [reply] once on the same loop. */
+internal fun interface SmallHandler {
+    fun answer(path: String, body: ByteArray, reply: (SmallAnswer) -> Unit)
+}
+
+/** Serves [handler] on the connections of a port. */
+internal class SmallServer(private val handler: SmallHandler) {
     fun onConnection(channel: SocketChannel) {
         channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MOST_BYTES), Handler())
     }
@@ -31,7 +36,13 @@
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             val path = request.uri().substringBefore('?')
-            val made = answer(path, ByteBufUtil.getBytes(request.content()))
+            val keep = HttpUtil.isKeepAlive(request)
+            handler.answer(path, ByteBufUtil.getBytes(request.content())) {
+                write(context, it, keep)
+            }
+        }
+
+        private fun write(context: ChannelHandlerContext, made: SmallAnswer, keep: Boolean) {
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(made.status),
@@ -39,7 +50,6 @@
             )
             response.headers()["Content-Type"] = made.contentType
             HttpUtil.setContentLength(response, made.body.size.toLong())
-            val keep = HttpUtil.isKeepAlive(request)
             HttpUtil.setKeepAlive(response, keep)
             val written = context.writeAndFlush(response)
             if (!keep) written.addListener(ChannelFutureListener.CLOSE)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
@@ -16,11 +16,13 @@
     pools: ServicePools,
     peers: Collection<String>,
     openRequests: Int,
+    watches: Boolean,
     now: Instant,
 ): JsonObject = buildJsonObject {
     put("now", now.toString())
     put("serving", view.serving)
     put("openRequests", openRequests)
+    put("watchesStore", watches)
     putJsonObject("configuration") {
         put("version", view.catalog?.version)
         put("confirmed", view.current)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -3,6 +3,8 @@
 
 import arrow.core.Either
 import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.ChangeJournal
+import burdockspread.forward.directory.TargetChange
 import burdockspread.forward.directory.TargetDirectory
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.host.Deployment
@@ -17,29 +19,35 @@
 import burdockspread.wire.forward.NewsReply
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetNews
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
  * Merges what the store and peers tell. To be used from the control loop; [view] may be read from
  * any thread.
  *
- * Versions only rise, whoever brings them. While the store answers it is believed alone; when it
- * is silent, turns the host away or ends its watches, [needsPeers] asks for news from peers.
+ * Versions only rise, whoever brings them: the store's own watches, the relay that this host
+ * follows, or, when neither keeps it up to date, any peer.
  */
 public class HostNews(
     private val deployment: Deployment,
     private val clock: TimeSource,
     private val listener: NewsListener = NewsListener.NONE,
 ) : KindSink {
-    private val directory = TargetDirectory()
+    private val journal = ChangeJournal(Random.nextLong())
+    private val directory = TargetDirectory(onChanged = journal::record)
     private val stored = HashMap<String, StoredObject>()
     private val contacts = HashMap<String, Contact>()
     private var catalogText = ""
     private val current = AtomicReference(HostView())
+    private val changes = MutableStateFlow(0L)
+    private var published = -1L
     private var confirmedAt: Instant = Instant.DISTANT_PAST
 
     /** The newest snapshot. */
@@ -76,17 +84,23 @@
         publish(clock.now())
     }
 
-    /** Whether peers should be asked, because the store does not keep this host up to date. */
-    public fun needsPeers(now: Instant): Boolean {
-        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
-        return kinds.any { !inTouch(it, now) }
+    /** The host no longer watches the store; what it heard so far says nothing from now on. */
+    public fun onDetached() {
+        contacts.clear()
+        publish(clock.now())
     }
 
+    /** Whether the store itself keeps this host up to date. */
+    public fun watches(now: Instant): Boolean =
+        inTouch(deployment.catalogKey.kind, now) && inTouch(deployment.targetKind, now)
+
     private fun inTouch(kind: String, now: Instant): Boolean {
         val contact = contacts[kind] ?: return false
         return !contact.lost && now - contact.heardAt <= SILENCE
     }
 
+    private fun confirmed(now: Instant): Boolean = now - confirmedAt < CONFIRMED
+
     /** What this host asks of a peer. */
     public fun request(host: String, address: String): NewsRequest = NewsRequest.newBuilder()
         .setHost(host)
@@ -95,18 +109,39 @@
         .setTargetsVersion(directory.version)
         .build()
 
+    /**
+     * Waits until this host knows more than [request] says, is no longer kept up to date by the
+     * store, or the time that the request allows has passed.
+     */
+    public suspend fun awaitNews(request: NewsRequest) {
+        withTimeoutOrNull(request.waitMillis.milliseconds.coerceAtMost(MOST_WAIT)) {
+            changes.first { isNews(request) || !watches(clock.now()) }
+        }
+    }
+
+    private fun isNews(request: NewsRequest): Boolean {
+        val targets = journal.since(request.journalId, request.journalPosition)
+        val newer = targets?.isNotEmpty() ?: (directory.version > request.targetsVersion)
+        return newer || (view.catalog?.version ?: 0) > request.catalogVersion
+    }
+
     /** What this host knows beyond [request]. */
     public fun reply(request: NewsRequest, peers: Collection<String>): NewsReply {
         val reply = NewsReply.newBuilder().addAllPeers(peers)
-        reply.confirmed = !needsPeers(clock.now())
+        reply.confirmed = watches(clock.now())
         val version = view.catalog?.version ?: 0
         reply.catalogVersion = version
         if (version > request.catalogVersion) reply.catalog = catalogText
         reply.targetsVersion = directory.version
-        if (directory.version > request.targetsVersion) {
-            directory.entries().mapNotNull {
-                stored[it.id.value]
-            }.forEach { reply.addTargets(news(it)) }
+        reply.journalId = journal.id
+        reply.journalPosition = journal.position
+        val changed = journal.since(request.journalId, request.journalPosition)
+        if (changed != null) {
+            reply.changesOnly = true
+            changed.forEach { reply.addTargets(change(it)) }
+        } else if (directory.version > request.targetsVersion) {
+            directory.entries().mapNotNull { stored[it.id.value] }
+                .forEach { reply.addTargets(news(it)) }
         }
         return reply.build()
     }
@@ -115,9 +150,19 @@
     public fun onReply(reply: NewsReply, confirmed: Boolean) {
         val now = clock.now()
         if (reply.catalog.isNotEmpty()) takeCatalog(reply.catalog, reply.catalogVersion, "peer")
-        if (reply.targetsCount > 0) {
-            val objects = reply.targetsList.map(::storedTarget)
-            objects.forEach(::keep)
+        val (gone, there) = reply.targetsList.partition { it.entry.isEmpty() }
+        val objects = there.map(::storedTarget)
+        objects.forEach(::keep)
+        if (reply.changesOnly) {
+            val changes = objects.map { TargetChange(it.id(), deployment.target(it), it.version) }
+            val removals = gone.map { TargetChange(TargetId(it.name), null, it.version) }
+            directory.onChanges(
+                changes.filter {
+                    it.entry != null
+                } + removals,
+                reply.targetsVersion,
+            )
+        } else if (objects.isNotEmpty()) {
             directory.onListing(objects.mapNotNull(deployment::target), reply.targetsVersion, now)
         }
         if (confirmed) confirmedAt = now
@@ -128,7 +173,6 @@
     public fun tick() {
         val now = clock.now()
         directory.expire(now)
-        stored.keys.retainAll(directory.entries().map { it.id.value }.toSet())
         publish(now)
     }
 
@@ -182,16 +226,21 @@
     }
 
     private fun publish(now: Instant) {
+        val before = view
+        val same = journal.position == published
+        val targets = if (same) before.directory else directory.view()
         val direct = inTouch(deployment.catalogKey.kind, now)
-        val known = if (directory.version == view.directory.version) view.directory else null
-        val next = directory.view()
-        val same = known != null && known.services == next.services
-        val targets = if (same) view.directory else next
-        current.set(
-            view.copy(directory = targets, current = direct || now - confirmedAt < CONFIRMED),
-        )
+        current.set(before.copy(directory = targets, current = direct || confirmed(now)))
+        if (!same) stored.keys.retainAll(directory.entries().map { it.id.value }.toSet())
+        published = journal.position
+        changes.value++
     }
 
+    private fun change(id: TargetId): TargetNews = stored[id.value]?.let(::news)
+        ?: TargetNews.newBuilder().setName(id.value).setVersion(directory.version).build()
+
+    private fun StoredObject.id() = TargetId(key.name)
+
     private fun news(value: StoredObject): TargetNews = TargetNews.newBuilder()
         .setName(value.key.name)
         .setEntry(value.value)
@@ -214,8 +263,11 @@
         /** Time without an answer after which the store counts as silent: a watch and its way. */
         private val SILENCE = WATCH_WAIT + 700.milliseconds
 
-        /** Time for which a peer's word on the configuration holds. */
-        private val CONFIRMED = 1.seconds
+        /** Longest time for which a peer may wait for news; bounds what a wrong request can hold. */
+        private val MOST_WAIT = 5_000.milliseconds
+
+        /** Time for which a peer's word holds: a follower's question and its way. */
+        private val CONFIRMED = 1_200.milliseconds
     }
 }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -1,4 +1,4 @@
-/** Asks peers for news while the store does not keep the host up to date. */
+/** Asks peers for news: the relay that the host follows, or any peer when nothing else helps. */
 package burdockspread.forward.news
 
 import burdockspread.forward.http.CallRequest
@@ -13,10 +13,12 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /**
- * Keeps the peers' addresses, and pulls what they know beyond this host, one peer at a time.
+ * Keeps the peers' addresses, and pulls what they know beyond this host.
  *
  * @param own peer address of this host, IP:port.
  */
@@ -31,6 +33,10 @@
 ) {
     private val peers = LinkedHashSet<String>(seeds - own)
 
+    /** Where this host left the journals of the relays that it asked. */
+    private val positions = HashMap<String, JournalPosition>()
+    private var followedAt: Instant = Instant.DISTANT_PAST
+
     /** Addresses of all hosts known, this one included. */
     public fun known(): List<String> = peers.take(MOST_TOLD) + own
 
@@ -47,6 +53,7 @@
         if (addresses.isNotEmpty()) {
             peers.clear()
             addresses.forEach(::onPeer)
+            positions.keys.retainAll(peers)
         }
     }
 
@@ -55,8 +62,39 @@
         while (true) {
             delay(ROUND)
             news.tick()
-            if (news.needsPeers(clock.now())) askOne()
+            if (needsAnyPeer()) peers.randomOrNull(random)?.let { ask(it) }
+        }
+    }
+
+    /** Whether neither the store nor a relay keeps this host up to date. */
+    private fun needsAnyPeer(): Boolean {
+        val now = clock.now()
+        return !news.watches(now) && now - followedAt > FOLLOW_WAIT + CALL_TIMEOUT
+    }
+
+    /**
+     * Waits at [relay] for something newer. True when it answered and the store itself keeps it up
+     * to date.
+     */
+    public suspend fun follow(relay: String): Boolean {
+        val followed = ask(relay, FOLLOW_WAIT) == true
+        if (followed) followedAt = clock.now()
+        return followed
+    }
+
+    /** Asks [peer] for what it knows beyond this host; null when no answer came. */
+    public suspend fun ask(peer: String, wait: Duration = Duration.ZERO): Boolean? {
+        val request = news.request(host, own).toBuilder()
+        positions[peer]?.let {
+            request.setJournalId(it.journal).setJournalPosition(it.position)
         }
+        request.waitMillis = wait.inWholeMilliseconds.toInt()
+        val call = CallRequest("POST", PATH, request.build().toByteArray(), PROTOBUF)
+        val reply = read(peer, calls.call(peer, call, wait + CALL_TIMEOUT)) ?: return null
+        positions[peer] = JournalPosition(reply.journalId, reply.journalPosition)
+        reply.peersList.forEach(::onPeer)
+        news.onReply(reply, reply.confirmed)
+        return reply.confirmed
     }
 
     /** Tells a few peers of a lost target; each that had not heard of it tells a few more. */
@@ -68,23 +106,21 @@
         }
     }
 
-    private suspend fun askOne() {
-        val peer = peers.randomOrNull(random) ?: return
-        val body = news.request(host, own).toByteArray()
-        val request = CallRequest("POST", PATH, body, PROTOBUF)
-        val result = calls.call(peer, request, CALL_TIMEOUT)
-        if (result !is CallResult.Answer || result.status != OK) return
-        val reply =
-            try {
-                NewsReply.parseFrom(result.body)
-            } catch (e: InvalidProtocolBufferException) {
-                log.warn("peer {} sent news that cannot be read: {}", peer, e.message)
-                return
-            }
-        reply.peersList.forEach(::onPeer)
-        news.onReply(reply, reply.confirmed)
+    private fun read(peer: String, result: CallResult): NewsReply? {
+        if (result !is CallResult.Answer || result.status != OK) {
+            positions -= peer
+            return null
+        }
+        return try {
+            NewsReply.parseFrom(result.body)
+        } catch (e: InvalidProtocolBufferException) {
+            log.warn("peer {} sent news that cannot be read: {}", peer, e.message)
+            null
+        }
     }
 
+    private class JournalPosition(val journal: Long, val position: Long)
+
     public companion object {
         /** Path of the call at a host's peer address. */
         public const val PATH: String = "/peer/news"
@@ -101,6 +137,12 @@
         /** Half a second keeps an edit within its two seconds also by way of a peer. */
         private val ROUND = 400.milliseconds
         private val CALL_TIMEOUT = 350.milliseconds
+
+        /**
+         * Wait at a relay. With the time for the call, a relay that falls silent is noticed in half
+         * of the two seconds in which an edit has to be in force.
+         */
+        private val FOLLOW_WAIT = 800.milliseconds
         private val log = LogManager.getLogger(PeerNews::class.java)
     }
 }
