Bound log lines by event and count what is left out

Cause: one burst filter held all routine lines of a host together and dropped silently, so a flood of answers could hide failed attempts, and nobody could tell that lines were missing.

Warnings pass as before.

The processor share of logging and a blocked reader are not measured.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -8,17 +8,28 @@
 import burdockspread.forward.exchange.ExchangeEffect
 import burdockspread.forward.exchange.ExchangeListener
 import burdockspread.forward.load.FlightOutcome
+import burdockspread.forward.log.LineBudget
 import burdockspread.forward.news.NewsListener
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** Writes the lines; `event` names the decision, `request` the caller's id. */
-internal class ForwardLog :
+/**
+ * Writes the lines; `event` names the decision, `request` the caller's id. Warnings always pass,
+ * other lines within their event's budget.
+ */
+internal class ForwardLog(private val now: () -> Instant) :
     ExchangeListener,
     NewsListener {
-    override fun onWaiting(call: Call, now: Instant): Unit = line(call, "waiting", now).info()
+    /** Lines on requests, which come from the request loop. */
+    private val requests = LineBudget()
+
+    /** Lines on what the host believes, which come from the control loop. */
+    private val beliefs = LineBudget()
+
+    override fun onWaiting(call: Call, now: Instant): Unit =
+        line(call, "waiting", now).info(requests)
 
     override fun onSent(call: Call, send: ExchangeEffect.Send, now: Instant) {
         if (send.attempt == 1) return
@@ -27,7 +38,7 @@
             .with("target", send.target.id.value)
             .with("after_event", send.resumeAfter.orEmpty())
             .with("copy_at", send.copyAt.orEmpty())
-            .info()
+            .info(requests)
     }
 
     override fun onAttemptEnded(
@@ -45,7 +56,7 @@
             .with("address", target.address)
             .with("outcome", outcome.name)
             .with("detail", detail)
-            .info()
+            .info(requests)
     }
 
     override fun onResumed(
@@ -58,13 +69,13 @@
         .with("attempt", attempt.toString())
         .with("target", target.id.value)
         .with("pause_ms", pause.inWholeMilliseconds.toString())
-        .info()
+        .info(requests)
 
     override fun onAnswered(call: Call, status: Int, attempts: Int, now: Instant): Unit =
         line(call, "answered", now)
             .with("status", status.toString())
             .with("attempts", attempts.toString())
-            .info()
+            .info(requests)
 
     override fun onRefused(call: Call, refusal: Refusal, attempts: Int, now: Instant): Unit =
         line(call, "refused", now)
@@ -83,13 +94,13 @@
             .warn()
 
     override fun onCallerGone(call: Call, attempts: Int, now: Instant): Unit =
-        line(call, "caller_gone", now).with("attempts", attempts.toString()).info()
+        line(call, "caller_gone", now).with("attempts", attempts.toString()).info(requests)
 
     override fun onCatalog(catalog: Catalog, source: String): Unit = news("configuration")
         .with("version", catalog.version.toString())
         .with("source", source)
         .with("routes", catalog.routes.size.toString())
-        .info()
+        .info(beliefs)
 
     override fun onCatalogUnreadable(version: Long, reason: String): Unit =
         news("configuration_unreadable")
@@ -102,10 +113,11 @@
             .with("target", entry.id.value)
             .with("address", entry.address)
             .with("store_version", version.toString())
-            .info()
+            .info(beliefs)
 
-    override fun onTargetGone(name: String, version: Long): Unit =
-        news("target_gone").with("target", name).with("store_version", version.toString()).info()
+    override fun onTargetGone(name: String, version: Long): Unit = news(
+        "target_gone",
+    ).with("target", name).with("store_version", version.toString()).info(beliefs)
 
     override fun onStoreLost(kind: String, reason: String): Unit =
         news("store_lost").with("kind", kind).with("detail", reason).warn()
@@ -120,9 +132,10 @@
         .with("code", refusal.code.number.toString())
         .with("status", refusal.code.httpStatus.toString())
         .with("detail", refusal.detail)
-        .info()
+        .info(requests)
 
-    fun onProcess(event: String, detail: String): Unit = news(event).with("detail", detail).info()
+    fun onProcess(event: String, detail: String): Unit =
+        log.info(news(event).with("detail", detail))
 
     private fun line(call: Call, event: String, now: Instant): StringMapMessage =
         StringMapMessage(CAPACITY)
@@ -135,7 +148,12 @@
     private fun news(event: String): StringMapMessage =
         StringMapMessage(CAPACITY).with("event", event)
 
-    private fun StringMapMessage.info(): Unit = log.info(this)
+    private fun StringMapMessage.info(budget: LineBudget) {
+        val at = now()
+        if (budget.take(get("event").orEmpty(), at)) log.info(this)
+        val leftOut = budget.report(at)
+        if (leftOut.isNotEmpty()) log.warn(news("lines_left_out").with("counts", "$leftOut"))
+    }
 
     private fun StringMapMessage.warn(): Unit = log.warn(this)
 
