Tell the hosts of a failure domain which runners are used

Cause: a prompt that is read at a runner holds every stream there up by about a second. A host sees its own requests and an old report now and then, so it places nearly at random: an answer takes 6 to 8 s instead of 4.9, and all that runs when a runner or a host is lost is lost or read again.

Telling all hosts brings little beyond telling those of the failure domain.

Change: hosts of a failure domain tell each other their requests at model runners by datagrams, at most ten times a second and under 9 KB/s (PeerLoads decides, LoadExchange sends). Copies count for memory and no longer as running requests.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Takes what changed in the directory of a peer that knows the targets as of [at]. A target that
-     * is not held and is no newer than [version] has gone since, and does not come back.
+     * Takes what changed in the directory of a peer that knows the targets as of [at]. A target
+     * that is not held and is no newer than [version] has gone since, and does not come back.
      */
     public fun onChanges(changes: List<TargetChange>, at: Long) {
         changes.forEach { change ->
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -8,6 +8,7 @@
 import burdockspread.id.FailureDomainId
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlin.time.Duration
@@ -42,6 +43,15 @@
     /** Number of demands that wait. */
     public val waiting: Int
 
+    /**
+     * Requests of this host at each model runner, for the other hosts. Calls of plain services end
+     * before anyone could hear of them, so these are not told.
+     */
+    public fun ownLoads(): ImmutableMap<TargetId, Int>
+
+    /** Takes the requests that the other hosts which tell have at each target, as of [at]. */
+    public fun onOtherLoads(loads: Map<TargetId, Int>, at: Instant)
+
     /** Records the events of a placed request. */
     public fun flights(): FlightBook
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -8,8 +8,11 @@
 import burdockspread.id.FailureDomainId
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.mutate
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -71,6 +74,16 @@
         queue.remove(ticket)
     }
 
+    override fun ownLoads(): ImmutableMap<TargetId, Int> {
+        if (service?.engine == null) return persistentMapOf()
+        val used = pool.filter { it.ownRuns > 0 }
+        return used.associate { it.entry.id to it.ownRuns }.toImmutableMap()
+    }
+
+    override fun onOtherLoads(loads: Map<TargetId, Int>, at: Instant) {
+        if (service?.engine != null) pool.forEach { it.onOthers(loads[it.entry.id] ?: 0, at) }
+    }
+
     override val waiting: Int get() = queue.size
 
     override fun flights(): FlightBook = this
@@ -115,7 +128,7 @@
         chosen.add(demand.ticket, FlightLoad(demand.promptTokens, tokens, now))
         if (copyTo != null) {
             copies[demand.ticket] = copyTo.entry.id
-            copyTo.add(demand.ticket, FlightLoad(promptTokens = 0, tokens, now))
+            copyTo.add(demand.ticket, FlightLoad(promptTokens = 0, tokens, now, copy = true))
         }
         return Decision.Placed(chosen.entry, copyTo?.entry)
     }
@@ -195,7 +208,7 @@
 
     private fun score(target: TargetLoad, usual: Usual, now: Instant): Double {
         val far = if (target.entry.failureDomain == ownDomain) 0.0 else options.crossDomainScore
-        val load = target.own + target.others(now, fade(), usual.othersLoad)
+        val load = target.ownRuns + target.others(now, fade(), usual.othersLoad)
         val reading = target.unreadTokens / READING_TOKENS
         val excess = (target.failureRate - usual.failureRate).coerceAtLeast(0.0)
         val sick = excess * options.failureScore
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -20,6 +20,7 @@
     var doubtful: Boolean = listed.doubtful
         private set
     private val flights = LinkedHashMap<Long, FlightLoad>()
+    private var copies = 0
     private var others = 0.0
     private var othersAt: Instant = Instant.DISTANT_PAST
     private var failures = 0.0
@@ -43,7 +44,11 @@
         pause = ZERO
     }
 
+    /** Own requests and copies of own requests here. */
     val own: Int get() = flights.size
+
+    /** Own requests that run or wait here. */
+    val ownRuns: Int get() = flights.size - copies
     val meanLatency: Double get() = latency
     val failureRate: Double get() = failures
 
@@ -74,16 +79,24 @@
         flights[ticket] = flight
         ownTokens += flight.tokens
         unreadTokens += flight.unread
+        if (flight.copy) copies++
     }
 
     fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) {
         flights[ticket]?.let(::read)
         heardAt = now
         if (load == null) return
-        others = max(0.0, (load.running + load.waiting - flights.size).toDouble())
+        others = max(0.0, (load.running + load.waiting - ownRuns).toDouble())
         othersAt = now
     }
 
+    /** Other hosts say that [runs] of their requests are here as of [at]. */
+    fun onOthers(runs: Int, at: Instant) {
+        if (at <= othersAt) return
+        others = runs.toDouble()
+        othersAt = at
+    }
+
     fun onEnded(ticket: Long, outcome: FlightOutcome, now: Instant) {
         val flight = take(ticket) ?: return
         when (outcome) {
@@ -108,6 +121,7 @@
         val flight = flights.remove(ticket) ?: return null
         read(flight)
         ownTokens -= flight.tokens
+        if (flight.copy) copies--
         return flight
     }
 
@@ -135,7 +149,12 @@
 }
 
 /** What one request, or the copy of one, takes of a target. */
-internal class FlightLoad(promptTokens: Int, val tokens: Int, val since: Instant) {
+internal class FlightLoad(
+    promptTokens: Int,
+    val tokens: Int,
+    val since: Instant,
+    val copy: Boolean = false,
+) {
     /** Prompt tokens that the target has not read yet. */
     var unread: Int = promptTokens
 }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/relay/RelayFollowing.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/relay/RelayFollowing.kt
@@ -55,7 +55,7 @@
         /** Time in which a host that restarts listens again. */
         val FIRST_PAUSE = 2.seconds
 
-        /** A host that is gone for good costs one question a minute until it is no longer listed. */
+        /** A host that is gone for good costs one question a minute while it is listed. */
         val LONGEST_PAUSE = 60.seconds
     }
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -13,7 +13,9 @@
 import burdockspread.forward.load.Settled
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Instant
 
 /** Places each demand on the next of [targets], and lets it wait when none is left. */
@@ -41,6 +43,10 @@
 
     override val waiting: Int = 0
 
+    override fun ownLoads(): ImmutableMap<TargetId, Int> = persistentMapOf()
+
+    override fun onOtherLoads(loads: Map<TargetId, Int>, at: Instant): Unit = Unit
+
     override fun flights(): FlightBook = this
 
     override fun onHead(ticket: Long, load: ReportedLoad?, now: Instant) = Unit
--- /dev/null
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/PeerLoadsTest.kt
@@ -0,0 +1,62 @@
+package burdockspread.forward.load
+
+import burdockspread.forward.Fixture
+import burdockspread.id.HostId
+import burdockspread.id.TargetId
+import kotlinx.collections.immutable.persistentMapOf
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class PeerLoadsTest {
+    private val now = Fixture.START
+    private val loads = PeerLoads()
+    private val first = TargetId("r1")
+    private val second = TargetId("r2")
+
+    @Test
+    fun `the loads of all hosts add up`() {
+        loads.onTold(HostId("a"), 1, mapOf(first to 2), now)
+        loads.onTold(HostId("b"), 1, mapOf(first to 1, second to 1), now)
+        assertEquals(mapOf(first to 3, second to 1), loads.total(now))
+    }
+
+    @Test
+    fun `a message that was overtaken is ignored`() {
+        loads.onTold(HostId("a"), 5, mapOf(first to 2), now)
+        loads.onTold(HostId("a"), 4, mapOf(first to 9), now)
+        assertEquals(mapOf(first to 2), loads.total(now))
+    }
+
+    @Test
+    fun `a host that stopped counts for nothing, and one that started again does`() {
+        loads.onTold(HostId("a"), 5, mapOf(first to 2), now)
+        assertNull(loads.total(now + 6.seconds))
+        loads.onTold(HostId("a"), 1, mapOf(first to 1), now + 7.seconds)
+        assertEquals(mapOf(first to 1), loads.total(now + 7.seconds))
+    }
+
+    @Test
+    fun `changes are told soon, the rest is repeated now and then`() {
+        val own = persistentMapOf(first to 1)
+        assertTrue(loads.isDue(own, now))
+        loads.onSent(own, peers = 3, bytes = 100, now)
+        assertFalse(loads.isDue(own, now + 1.seconds))
+        assertTrue(loads.isDue(own, now + 2.seconds))
+        val more = persistentMapOf(first to 2)
+        assertFalse(loads.isDue(more, now + 50.milliseconds))
+        assertTrue(loads.isDue(more, now + 100.milliseconds))
+    }
+
+    @Test
+    fun `large loads of a large domain are told less often`() {
+        loads.onSent(persistentMapOf(first to 1), peers = 30, bytes = 600, now)
+        val more = persistentMapOf(first to 2)
+        assertFalse(loads.isDue(more, now + 1_500.milliseconds))
+        assertTrue(loads.isDue(more, now + 2.seconds))
+    }
+}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -39,7 +39,7 @@
     private val deployment: Deployment,
 ) {
     private val clock = MonotonicTime()
-    private val log = ForwardLog()
+    private val log = ForwardLog(clock::now)
     private val transport = Transport()
     private val calls = Calls(Connections(transport, transport.control), transport.control)
     private val store = deployment.store(settings.storeAddress, calls)
@@ -62,8 +62,11 @@
         LoadPolicy.factory(),
         LossListener(::tellLoss),
     )
+    private val loads = settings.loadAddress.ifEmpty { null }?.let {
+        LoadExchange(HostId(settings.host.name), it, transport, pools, clock::now)
+    }
     private val server =
-        RequestServer(deployment, transport, clock, pools, { news.view }, metrics)
+        RequestServer(deployment, transport, clock, pools, { news.view }, metrics, loads)
     private val scope =
         CoroutineScope(SupervisorJob() + transport.control.asCoroutineDispatcher())
     private val stopped = CompletableDeferred<ExitCode>()
@@ -81,6 +84,7 @@
         transport.listen(transport.control, settings.peerAddress, news::onConnection)
         val operators = SmallServer { path, _, reply -> reply(operator(path)) }
         transport.listen(transport.requests, settings.operatorAddress, operators::onConnection)
+        loads?.start()
         metrics.gauge("burdock_forward_open_requests") { server.openRequests }
         metrics.gauge("burdock_forward_hosts") { peers.hosts }
         transport.requests.execute(server::start)
@@ -121,8 +125,11 @@
             self.failureDomain,
             settings.peerAddress,
             store,
-            following::onListed,
-        )
+        ) { listed ->
+            following.onListed(listed)
+            val near = listed.filter { it.failureDomain == domain && it.id.value != self.name }
+            loads?.onPeers(near.map { it.peerAddress })
+        }
         scope.launch { list.run() }
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -38,6 +38,7 @@
     private val pools: ServicePools,
     private val view: () -> HostView,
     private val log: ForwardMetrics,
+    private val loads: LoadExchange?,
 ) : CallerHandler {
     private val gatekeeper = Gatekeeper(System.nanoTime())
     private val targets = Connections(transport, transport.requests)
@@ -140,6 +141,7 @@
         val now = clock.now()
         pools.apply(view(), now)
         pools.poll(now)
+        loads?.tick()
         if (++ticks % SWEEP_TICKS == 0) callers.toList().forEach { it.sweep(now) }
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -14,6 +15,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioDatagramChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
@@ -56,6 +58,19 @@
             .channel()
     }
 
+    /** Receives datagrams at [address], an IP:port, on the request loop. */
+    public fun listenDatagrams(address: String, handler: ChannelHandler): Channel {
+        val (ip, port) = split(address)
+        return Bootstrap()
+            .group(requests)
+            .channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .handler(handler)
+            .bind(InetSocketAddress(ip, port))
+            .sync()
+            .channel()
+    }
+
     /** Connects to [address] on [loop]. [onResult] gets null when that fails. */
     public fun connect(
         loop: EventLoop,
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
@@ -83,6 +83,7 @@
         address("callerAddress", settings.callerAddress)
         address("readyAddress", settings.readyAddress)
         address("peerAddress", settings.peerAddress)
+        if (settings.loadAddress.isNotEmpty()) address("loadAddress", settings.loadAddress)
         address("operatorAddress", settings.operatorAddress)
         address("storeAddress", settings.storeAddress)
         val ports = listOf(
