Divide followers between the relays; log targets that a relay tells

Cause: all followers of a large domain asked the first relay, whose link would carry each edit to all of them (26 x 70 kB at 10 Mbit/s on the grown hosts, worked out, not measured). Targets learnt from a relay left no line, so a host that follows could not be explained by its log.

Change: followers start with the relay that their own rank points at; changes told by a relay are logged like those of a watch.

Test: RelayFollowingTest (28 followers divide 14 and 14).

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/relay/RelayFollowing.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/relay/RelayFollowing.kt
@@ -26,12 +26,17 @@
         failed.keys.retainAll(ranking.toSet())
     }
 
-    /** The relays to follow, the best first; empty when this host is a relay itself. */
+    /**
+     * The relays to follow, the one to ask first before the others; empty when this host is a relay
+     * itself. Followers divide between the relays, whose links carry each edit to all of them.
+     */
     public fun relays(now: Instant): List<HostId> {
         val usable = ranking.filter { host -> failed[host].let { it == null || now >= it.until } }
         val wanted = if (ranking.size <= SMALL_DOMAIN) 1 else RelayChoice.RELAYS_PER_DOMAIN
         val chosen = usable.take(wanted)
-        return if (self in chosen) emptyList() else chosen
+        if (self in chosen) return emptyList()
+        val first = ranking.indexOf(self) % chosen.size
+        return chosen.drop(first) + chosen.take(first)
     }
 
     /** [relay] did not answer, or is not kept up to date by the store itself. */
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/relay/RelayFollowingTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/relay/RelayFollowingTest.kt
@@ -21,10 +21,16 @@
     fun `one host of a small domain watches, two of a large one, and all agree on them`() {
         assertEquals(1, watching(hosts(5)).size)
         assertEquals(2, watching(hosts(30)).size)
-        val followed = hosts(30).map { it.relays(now) }.filter { it.isNotEmpty() }.toSet()
+        val followed = hosts(30).map { it.relays(now).toSet() }.filter { it.isNotEmpty() }.toSet()
         assertEquals(1, followed.size)
     }
 
+    @Test
+    fun `followers divide between the relays`() {
+        val first = hosts(30).mapNotNull { it.relays(now).firstOrNull() }.groupBy { it }
+        assertEquals(listOf(14, 14), first.values.map { it.size })
+    }
+
     @Test
     fun `the next host takes over for a relay that does not answer`() {
         val hosts = hosts(5)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -17,7 +17,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Registers this host under [name] and lists the others now and then for [onListed]. Hosts that were lost stay listed: an address that does not answer costs a peer's question.
+ * Registers this host under [name] and lists the others now and then for [onListed]. Hosts that
+ * were lost stay listed: an address that does not answer costs a peer's question.
  */
 internal class HostList(
     private val name: String,
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostNews.kt
@@ -2,11 +2,9 @@
 package burdockspread.forward.news
 
 import arrow.core.Either
-import burdockspread.forward.catalog.Catalog
 import burdockspread.forward.directory.ChangeJournal
 import burdockspread.forward.directory.TargetChange
 import burdockspread.forward.directory.TargetDirectory
-import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.host.Deployment
 import burdockspread.forward.host.HostView
 import burdockspread.id.TargetId
@@ -154,14 +152,7 @@
         val objects = there.map(::storedTarget)
         objects.forEach(::keep)
         if (reply.changesOnly) {
-            val changes = objects.map { TargetChange(it.id(), deployment.target(it), it.version) }
-            val removals = gone.map { TargetChange(TargetId(it.name), null, it.version) }
-            directory.onChanges(
-                changes.filter {
-                    it.entry != null
-                } + removals,
-                reply.targetsVersion,
-            )
+            onChanges(objects, gone, reply.targetsVersion)
         } else if (objects.isNotEmpty()) {
             directory.onListing(objects.mapNotNull(deployment::target), reply.targetsVersion, now)
         }
@@ -169,6 +160,16 @@
         publish(now)
     }
 
+    private fun onChanges(there: List<StoredObject>, gone: List<TargetNews>, at: Long) {
+        val changes = there.mapNotNull { stored ->
+            deployment.target(stored)?.let { TargetChange(it.id, it, stored.version) }
+        }
+        val removals = gone.map { TargetChange(TargetId(it.name), null, it.version) }
+        directory.onChanges(changes + removals, at)
+        changes.forEach { change -> change.entry?.let { listener.onTarget(it, change.version) } }
+        removals.forEach { listener.onTargetGone(it.id.value, it.version) }
+    }
+
     /** Drops targets that stayed missing; to be called a few times a second. */
     public fun tick() {
         val now = clock.now()
@@ -239,8 +240,6 @@
     private fun change(id: TargetId): TargetNews = stored[id.value]?.let(::news)
         ?: TargetNews.newBuilder().setName(id.value).setVersion(directory.version).build()
 
-    private fun StoredObject.id() = TargetId(key.name)
-
     private fun news(value: StoredObject): TargetNews = TargetNews.newBuilder()
         .setName(value.key.name)
         .setEntry(value.value)
@@ -263,30 +262,10 @@
         /** Time without an answer after which the store counts as silent: a watch and its way. */
         private val SILENCE = WATCH_WAIT + 700.milliseconds
 
-        /** Longest time for which a peer may wait for news; bounds what a wrong request can hold. */
+        /** Longest time for which a peer may wait, whatever it asks for. */
         private val MOST_WAIT = 5_000.milliseconds
 
         /** Time for which a peer's word holds: a follower's question and its way. */
         private val CONFIRMED = 1_200.milliseconds
     }
 }
-
-/** Observes changes of what the host believes. */
-public interface NewsListener {
-    public fun onCatalog(catalog: Catalog, source: String) {}
-
-    public fun onCatalogUnreadable(version: Long, reason: String) {}
-
-    public fun onTarget(entry: TargetEntry, version: Long) {}
-
-    public fun onTargetGone(name: String, version: Long) {}
-
-    public fun onStoreLost(kind: String, reason: String) {}
-
-    public fun onStoreRegained(kind: String) {}
-
-    public companion object {
-        /** Observes nothing. */
-        public val NONE: NewsListener = object : NewsListener {}
-    }
-}
