--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/catalog/Catalog.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/catalog/Catalog.kt
@@ -52,6 +52,7 @@
  * @property pauseObjective longest pause between events with which a stream is on time, or null.
  * @property maxAttempts maximum number of targets to which one request may be sent.
  * @property priority 0 is the most urgent.
+ * @property split services of the requests; at least one weight is above 0.
  */
 public data class Route(
     public val name: String,
@@ -67,8 +68,8 @@
     public val split: ImmutableList<WeightedService>,
 )
 
-/** A service and its weight in a route's traffic split. */
-public data class WeightedService(public val service: ServiceId, public val weight: Int)
+/** A service and its relative weight in a route's traffic split. */
+public data class WeightedService(public val service: ServiceId, public val weight: Double)
 
 /** Retry semantics of a route's requests. */
 public enum class CallKind(
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
@@ -76,12 +76,13 @@
     }
 
     private fun selectService(route: Route): ServiceId {
-        var remaining = random.nextInt(route.split.sumOf { it.weight }.coerceAtLeast(1))
+        var remaining = random.nextDouble() * route.split.sumOf { it.weight }
         for (share in route.split) {
             remaining -= share.weight
             if (remaining < 0) return share.service
         }
-        return route.split.last().service
+        // Rounding may leave a remainder of almost zero.
+        return route.split.last { it.weight > 0 }.service
     }
 
     private fun notFound(
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/Fixture.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/Fixture.kt
@@ -61,7 +61,7 @@
         priority = 1,
         maxAttempts = maxAttempts,
         allowsAnonymous = false,
-        split = persistentListOf(WeightedService(service, 1)),
+        split = persistentListOf(WeightedService(service, 1.0)),
     )
 
     fun engineService(kvCacheTokens: Int = 55_000, slots: Int = 12) =
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/RequestRouterTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/RequestRouterTest.kt
@@ -4,8 +4,11 @@
 import burdockspread.forward.Fixture
 import burdockspread.forward.catalog.CallKind
 import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.catalog.WeightedService
+import kotlinx.collections.immutable.persistentListOf
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
 class RequestRouterTest {
@@ -41,6 +44,19 @@
         assertEquals(3, call.priority)
     }
 
+    @Test
+    fun `requests are split among services by fractional weights`() {
+        val split = persistentListOf(
+            WeightedService(Fixture.DESK, 0.75),
+            WeightedService(Fixture.DRAFTS, 0.25),
+        )
+        val catalog = Fixture.catalog(1, Fixture.route(CallKind.IDEMPOTENT).copy(split = split))
+        val calls = List(1_000) {
+            checkNotNull(router.resolve(fields(), catalog, true, Fixture.START).getOrNull())
+        }
+        assertTrue(calls.count { it.service == Fixture.DESK } in 700..800)
+    }
+
     private fun fields(
         host: String = "one.example",
         path: String = "/a/x",
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -35,8 +35,9 @@
     fun pool(service: ServiceId): ServicePool = pools.getOrPut(service) {
         val policy = factory.create(domain, seed + service.value.hashCode(), lossListener)
         // Half of the shared slack, since a token bucket may spend its capacity within any window.
-        val capacity = (retries.slack / (2 * hosts().coerceAtLeast(MIN_HOSTS))).coerceAtLeast(1)
-        ServicePool(policy, RetryBudget(retries.ratio * RETRY_RATIO_MARGIN, capacity))
+        val capacity = (retries.slack / (2 * hosts().coerceAtLeast(MIN_HOSTS))).toInt()
+        val budget = RetryBudget(retries.ratio * RETRY_RATIO_MARGIN, capacity.coerceAtLeast(1))
+        ServicePool(policy, budget)
     }
 
     /** Applies a new snapshot to the policies. */
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/utils.kt
@@ -11,6 +11,9 @@
 /** Longest time that an order to a target may take; a lease must leave room for it. */
 private val MAX_ORDER_DURATION = 3.seconds
 
+/** Upper bound of the shared slack of a retry budget, far above the requests of one window. */
+private const val MAX_RETRY_SLACK = 1_000_000.0
+
 /** Loader of the settings of `burdock-entry`. */
 public val entrySettingsLoader: SettingsLoader<EntrySettings> =
     SettingsLoader(EntrySettings.getDefaultInstance()) { settings ->
@@ -98,6 +101,10 @@
         check("operatorAddress", ports.distinct() == ports, "each port must have its own address")
         settings.seedPeersList.forEachIndexed { i, peer -> address("seedPeers[$i]", peer) }
         check("retries.ratio", settings.retries.ratio in 0.0..1.0, "must be between 0 and 1")
-        check("retries.slack", settings.retries.slack >= 0, "must not be negative")
+        check(
+            "retries.slack",
+            settings.retries.slack in 0.0..MAX_RETRY_SLACK,
+            "must be between 0 and ${MAX_RETRY_SLACK.toInt()}",
+        )
         positive("stopGrace", settings.stopGrace)
     }
--- a/burdock-settings/src/test/kotlin/burdockspread/settings/SettingsLoaderTest.kt
+++ b/burdock-settings/src/test/kotlin/burdockspread/settings/SettingsLoaderTest.kt
@@ -36,6 +36,30 @@
         assertEquals("missing.json does not exist", problems.single().toString())
     }
 
+    @Test
+    fun `the slack of a retry budget may be a fraction`() {
+        val settings = forwardSettingsLoader.parse(forward("24.193548387096772")).getOrNull()
+        assertEquals(24.193548387096772, settings?.retries?.slack)
+        listOf("-0.5", "1e9", "\"NaN\"").forEach { slack ->
+            val problems = forwardSettingsLoader.parse(forward(slack)).leftOrNull().orEmpty()
+            assertEquals("retries.slack", problems.single().path, slack)
+        }
+    }
+
+    private fun forward(slack: String): String =
+        """
+        {
+          "host": {"name": "a-1", "failureDomain": "a"},
+          "callerAddress": "127.0.0.1:7300",
+          "readyAddress": "127.0.0.1:7301",
+          "peerAddress": "127.0.0.1:7302",
+          "operatorAddress": "127.0.0.1:7303",
+          "storeAddress": "127.0.0.1:7304",
+          "retries": {"ratio": 0.8, "slack": $slack},
+          "stopGrace": "8.5s"
+        }
+        """.trimIndent()
+
     private fun steward(renew: String): String =
         """
         {
