--- a/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/error/ErrorCode.kt
@@ -258,6 +258,13 @@
         false,
         "No complete answer arrived before the deadline; the call may have run.",
     ),
+    MALFORMED_RESPONSE(
+        410,
+        502,
+        ExecutionOutcome.OUTCOME_UNKNOWN,
+        false,
+        "A target sent bytes that are no response, or more than a response may hold.",
+    ),
 
     SECTION_CONFLICT(
         501,
--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
@@ -66,11 +66,11 @@
         val last =
             requestLines.lastOrNull { it.event in END_EVENTS } ?: return "no final event; $attempts"
         val summary = when (last.event) {
-            "answered" -> "answered with ${last.fields["status"]} after ${last.fields["ms"]} ms"
-            "refused", "turned_away" ->
+            "responded" -> "responded with ${last.fields["status"]} after ${last.fields["ms"]} ms"
+            "refused", "rejected" ->
                 "refused with ${last.fields["status"]}, code ${last.fields["code"]}" +
                     " (${last.fields["truth"] ?: "NOT_RUN"}): ${last.fields["detail"]}"
-            "broken_off" -> "broken off: ${last.fields["detail"]}"
+            "response_aborted" -> "aborted: ${last.fields["detail"]}"
             else -> "the caller left after ${last.fields["ms"]} ms"
         }
         return if (attempts.isEmpty()) summary else "$summary; $attempts"
@@ -78,8 +78,8 @@
 
     companion object {
         private val END_EVENTS =
-            setOf("answered", "refused", "turned_away", "broken_off", "caller_gone")
-        private val HOST_EVENTS = setOf("store_lost", "store_regained", "configuration", "stopping")
+            setOf("responded", "refused", "rejected", "response_aborted", "caller_disconnected")
+        private val HOST_EVENTS = setOf("store_lost", "store_reconnected", "configuration", "stopping")
         private val LEAD_TIME = 5.seconds
 
         /** Returns the timeline of request [id], or null if no line names it. */
--- a/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
+++ b/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
@@ -15,17 +15,17 @@
     @Test
     fun `a stream that resumes on another target is explained with its failed attempt`() {
         val log = """
-            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"target_gone","target":"i-1"}}
+            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"target_removed","target":"i-1"}}
             {"time":"2026-06-01T03:51:03.361Z","message":{"event":"attempt_failed","request":"r1","attempt":"1","target":"i-1","outcome":"SILENT","detail":"silent for 380ms"}}
-            {"time":"2026-06-01T03:51:03.372Z","message":{"event":"goes_on","request":"r1","attempt":"2","pause_ms":"391"}}
-            {"time":"2026-06-01T03:51:05.000Z","message":{"event":"answered","request":"r1","status":"200","ms":"5525"}}
+            {"time":"2026-06-01T03:51:03.372Z","message":{"event":"stream_resumed","request":"r1","attempt":"2","pause_ms":"391"}}
+            {"time":"2026-06-01T03:51:05.000Z","message":{"event":"responded","request":"r1","status":"200","ms":"5525"}}
         """
         val out = explain("r1", log)
-        assertContains(out, "target_gone")
+        assertContains(out, "target_removed")
         assertContains(out, "pause_ms=391")
         assertContains(
             out,
-            "cause: answered with 200 after 5525 ms; attempt 1 at i-1: SILENT, silent for 380ms",
+            "cause: responded with 200 after 5525 ms; attempt 1 at i-1: SILENT, silent for 380ms",
         )
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -16,12 +16,24 @@
     sentAt: Instant,
 ) {
     var lastReceivedAt: Instant = sentAt
+
+    /** When the last event arrived, or enough bytes of an incomplete event or response. */
+    var lastProgressAt: Instant = sentAt
+        private set
+    private var progressMark = 0
     var lastProbedAt: Instant = sentAt
     var head: ResponseHead? = null
 
     /** Whether the response being read belongs to another request; the expected one follows. */
     var isForeign = false
 
+    /** Size and number of the skipped responses to other requests. */
+    var skippedBytes = 0
+    var skippedResponses = 0
+
+    /** Whether to wait for the target however long it is silent, since no retry is possible. */
+    var isSilenceTolerated = false
+
     /** Whether the connection delivered a response to another request and must not be reused. */
     var isConnectionTainted = false
 
@@ -33,23 +45,36 @@
     var eventCount = 0
     val buffer = ByteArrayOutputStream()
 
+    /** Records that an event or the response head arrived, or that this host was paused. */
+    fun onProgress(now: Instant) {
+        lastProgressAt = maxOf(lastProgressAt, now)
+        progressMark = 0
+    }
+
+    /** Records the size of the incomplete event or response after bytes have arrived. */
+    fun onPartialProgress(pendingBytes: Int, options: ExchangeOptions, now: Instant) {
+        if (pendingBytes < progressMark + options.minProgressBytes) return
+        progressMark = pendingBytes
+        lastProgressAt = now
+    }
+
     /** Returns the instant at which a target that stays silent has to be probed or abandoned. */
     fun nextSilenceCheck(route: Route, options: ExchangeOptions): Instant {
         if (!route.kind.isStream) {
-            if (!route.kind.isRepeatable) return Instant.DISTANT_FUTURE
-            return lastReceivedAt + route.latencyObjective * options.silenceTimeoutFactor
+            if (!route.kind.isRepeatable || isSilenceTolerated) return Instant.DISTANT_FUTURE
+            return lastProgressAt + route.latencyObjective * options.silenceTimeoutFactor
         }
-        val nextProbe = maxOf(lastReceivedAt, lastProbedAt) + options.probeAfter
-        return stallTimeout(route.kind, options)?.let { minOf(nextProbe, lastReceivedAt + it) }
+        val nextProbe = maxOf(lastProgressAt, lastProbedAt) + options.probeAfter
+        return stallTimeout(route.kind, options)?.let { minOf(nextProbe, lastProgressAt + it) }
             ?: nextProbe
     }
 
     /**
      * Returns the pause between events that counts as a failure, or null before the first event and
-     * for streams that must not be retried.
+     * for streams that cannot be retried.
      */
     fun stallTimeout(kind: CallKind, options: ExchangeOptions): Duration? = when {
-        eventCount == 0 || !kind.isRepeatable -> null
+        eventCount == 0 || !kind.isRepeatable || isSilenceTolerated -> null
         replicaTarget != null -> options.stallTimeoutWithReplica
         else -> options.stallTimeoutWithoutReplica
     }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -76,7 +76,7 @@
     BROKEN(AttemptOutcome.BROKEN),
 
     /** The received bytes are not a valid HTTP response. */
-    MALFORMED(AttemptOutcome.FAILED),
+    MALFORMED(AttemptOutcome.MALFORMED),
 }
 
 /** Tuning parameters of exchanges. */
@@ -95,4 +95,15 @@
     public val probeAfter: Duration = PROBE_AFTER,
     /** Responses up to this size are buffered until complete, to allow a retry. */
     public val bufferBytes: Int = 262_144,
+    /** Maximum size of one event of a stream. */
+    public val maxEventBytes: Int = 262_144,
+    /** Maximum size of the responses to other requests that one attempt skips. */
+    public val maxSkippedBytes: Int = 262_144,
+    /** Maximum number of responses to other requests that one attempt skips. */
+    public val maxSkippedResponses: Int = 4,
+    /**
+     * Size of the part of an incomplete event or response whose arrival counts as progress. It tells
+     * a slow target from one that only keeps its connection busy.
+     */
+    public val minProgressBytes: Int = 1_024,
 )
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -78,8 +78,12 @@
         attempt.isForeign = head.requestId != null && head.requestId != call.id
         if (attempt.isForeign) {
             attempt.isConnectionTainted = true
+            if (++attempt.skippedResponses > options.maxSkippedResponses) {
+                rejectResponse(attempt, "too many responses to other requests", now)
+            }
             return@ifCurrent
         }
+        attempt.onProgress(now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.head = head
         attempt.isStreaming = kind.isStream && head.isSuccess && head.isValid()
@@ -91,15 +95,13 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
-        if (attempt.isForeign) return@ifCurrent
-        val head = attempt.head ?: return@ifCurrent
-        if (attempt.isStreaming) {
-            forward(attempt, head, bytes, now)
-        } else if (attempt.isRelaying) {
-            emitter.forward(head, bytes)
-        } else {
-            attempt.buffer.write(bytes)
-            if (attempt.buffer.size() > options.bufferBytes && head.isValid()) relay(attempt, head)
+        val head = attempt.head
+        when {
+            attempt.isForeign -> skip(attempt, bytes, now)
+            head == null -> Unit
+            attempt.isStreaming -> forwardEvents(attempt, head, bytes, now)
+            attempt.isRelaying -> emitter.forward(head, bytes)
+            else -> buffer(attempt, head, bytes, now)
         }
     }
 
@@ -133,8 +135,11 @@
             reachedAttempts--
             delivered--
         }
-        if (failure == AttemptFailure.MALFORMED) emitter.emit(ExchangeEffect.Cancel(attempt.number))
-        failAttempt(attempt, failure.outcome, failure.name.lowercase(), now)
+        if (failure == AttemptFailure.MALFORMED) {
+            rejectResponse(attempt, "not a valid HTTP response", now)
+        } else {
+            failAttempt(attempt, failure.outcome, failure.name.lowercase(), now)
+        }
     }
 
     override fun onProbe(
@@ -143,8 +148,7 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         if (alive || attempt.lastReceivedAt > attempt.lastProbedAt) return@ifCurrent
-        emitter.emit(ExchangeEffect.Cancel(attempt.number))
-        failAttempt(attempt, AttemptOutcome.SILENT, "no response to a probe", now)
+        abandonAttempt(attempt, AttemptOutcome.SILENT, "no response to a probe", now)
     }
 
     override fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect> = step {
@@ -157,9 +161,7 @@
         when {
             now >= call.deadline -> onDeadline(now)
             attempt == null -> Unit
-            timerDelay > MAX_TIMER_DELAY ->
-                attempt.lastReceivedAt =
-                    maxOf(attempt.lastReceivedAt, now - timerDelay)
+            timerDelay > MAX_TIMER_DELAY -> attempt.onProgress(now - timerDelay)
             now >= attempt.nextSilenceCheck(call.route, options) -> onSilence(attempt, now)
         }
     }
@@ -222,20 +224,53 @@
     }
 
     private fun onSilence(attempt: Attempt, now: Instant) {
-        val silence = now - attempt.lastReceivedAt
-        if (!kind.isStream) {
-            emitter.emit(ExchangeEffect.Cancel(attempt.number))
-            failAttempt(attempt, AttemptOutcome.FAILED, "silent for $silence", now)
+        val silence = now - attempt.lastProgressAt
+        val maxPause = attempt.stallTimeout(kind, options)
+        if (kind.isStream && (maxPause == null || silence < maxPause)) {
+            attempt.lastProbedAt = now
+            emitter.emit(ExchangeEffect.Probe(attempt.number, attempt.target))
             return
         }
-        val maxPause = attempt.stallTimeout(kind, options)
-        if (maxPause != null && silence >= maxPause) {
+        val outcome = if (kind.isStream) AttemptOutcome.SILENT else AttemptOutcome.FAILED
+        if (!attempt.isRelaying && mayRetry(outcome, now)) {
             emitter.emit(ExchangeEffect.Cancel(attempt.number))
-            failAttempt(attempt, AttemptOutcome.SILENT, "silent for $silence", now)
-            return
+            endFailedAttempt(attempt, outcome, "silent for $silence", now)
+            requestPlacement(now)
+        } else {
+            // The target may be slow rather than dead, and nobody else can answer the caller.
+            attempt.isSilenceTolerated = true
         }
-        attempt.lastProbedAt = now
-        emitter.emit(ExchangeEffect.Probe(attempt.number, attempt.target))
+    }
+
+    private fun skip(attempt: Attempt, bytes: ByteArray, now: Instant) {
+        attempt.skippedBytes += bytes.size
+        if (attempt.skippedBytes <= options.maxSkippedBytes) return
+        rejectResponse(attempt, "a response to another request exceeds the limit", now)
+    }
+
+    private fun buffer(attempt: Attempt, head: ResponseHead, bytes: ByteArray, now: Instant) {
+        attempt.buffer.write(bytes)
+        attempt.onPartialProgress(attempt.buffer.size(), options, now)
+        if (attempt.buffer.size() <= options.bufferBytes) return
+        if (head.isValid()) {
+            relay(attempt, head)
+        } else {
+            rejectResponse(attempt, "a response without signature or id exceeds the limit", now)
+        }
+    }
+
+    /** Closes the connection of a target whose bytes are not or no longer a response. */
+    private fun rejectResponse(attempt: Attempt, detail: String, now: Instant): Unit =
+        abandonAttempt(attempt, AttemptOutcome.MALFORMED, detail, now)
+
+    private fun abandonAttempt(
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        detail: String,
+        now: Instant,
+    ) {
+        emitter.emit(ExchangeEffect.Cancel(attempt.number))
+        failAttempt(attempt, outcome, detail, now)
     }
 
     /** Decides how to handle a complete response that was buffered. */
@@ -272,14 +307,23 @@
         outcome: AttemptOutcome,
         detail: String,
         now: Instant,
+    ) {
+        endFailedAttempt(attempt, outcome, detail, now)
+        if (attempt.isRelaying) return emitter.abort("truncated response: $detail", attempts, now)
+        if (!mayRetry(outcome, now)) return finish(exhausted(kind, delivered, outcome, detail), now)
+        requestPlacement(now)
+    }
+
+    private fun endFailedAttempt(
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        detail: String,
+        now: Instant,
     ) {
         endAttempt(attempt, outcome, detail, now)
         avoidedTargets = avoidedTargets.add(attempt.target.id)
         if (outcome.mayHaveRun && attempt.replicaTarget != null) replica = attempt.replicaTarget
-        if (attempt.isRelaying) return emitter.abort("truncated response: $detail", attempts, now)
         emitter.restart()
-        if (!mayRetry(outcome, now)) return finish(exhausted(kind, delivered, outcome, detail), now)
-        requestPlacement(now)
     }
 
     private fun mayRetry(outcome: AttemptOutcome, now: Instant): Boolean {
@@ -312,8 +356,23 @@
         endAttempt(attempt, AttemptOutcome.CANCELLED, "cancelled", now)
     }
 
-    private fun forward(attempt: Attempt, head: ResponseHead, bytes: ByteArray, now: Instant) {
-        if (!emitter.forwardEvents(head, bytes)) return
+    private fun forwardEvents(
+        attempt: Attempt,
+        head: ResponseHead,
+        bytes: ByteArray,
+        now: Instant,
+    ) {
+        val before = emitter.eventCount
+        emitter.forwardEvents(head, bytes)
+        if (emitter.eventCount > before) onEvent(attempt, now)
+        attempt.onPartialProgress(emitter.pendingBytes, options, now)
+        if (emitter.pendingBytes > options.maxEventBytes) {
+            rejectResponse(attempt, "an event exceeds ${options.maxEventBytes} bytes", now)
+        }
+    }
+
+    private fun onEvent(attempt: Attempt, now: Instant) {
+        attempt.onProgress(now)
         if (attempt.eventCount++ == 0 && attempt.number > 1) {
             listener.onResumed(call, attempt.number, attempt.target, now - lastEventAt, now)
         }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
@@ -20,18 +20,22 @@
     /** Id of the last event that the caller has received. */
     val lastEventId: String? get() = framer.lastId
 
+    /** Number of events that were forwarded. */
+    val eventCount: Int get() = framer.events
+
+    /** Size of the incomplete event in bytes. */
+    val pendingBytes: Int get() = framer.pendingBytes
+
     fun emit(effect: ExchangeEffect) {
         effects = effects.add(effect)
     }
 
     fun takeEffects(): ImmutableList<ExchangeEffect> = effects.also { effects = persistentListOf() }
 
-    /** Forwards the events that [bytes] complete; returns false if there are none. */
-    fun forwardEvents(head: ResponseHead, bytes: ByteArray): Boolean {
+    /** Forwards the events that [bytes] complete. */
+    fun forwardEvents(head: ResponseHead, bytes: ByteArray) {
         val events = framer.feed(bytes)
-        if (events.isEmpty()) return false
-        forward(head, events)
-        return true
+        if (events.isNotEmpty()) forward(head, events)
     }
 
     /** Discards an incomplete event, since another attempt follows. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
@@ -7,55 +7,92 @@
  * Forwards only complete events, so that another attempt can resume the stream at any time.
  *
  * Event ids increase within a stream; events of a resumed attempt that the caller already has are
- * dropped.
+ * dropped. Each byte is examined once, so that a target cannot stall the event loop with an event
+ * of many lines.
  *
  * @property lastId id of the last forwarded event, or the one after which the caller resumes.
  */
 public class SseFramer(public var lastId: String? = null) {
-    private val buffer = ByteArrayOutputStream()
+    private var buffer = ByteArray(INITIAL_BYTES)
+
+    /** Number of buffered bytes, which start with the incomplete event. */
+    private var size = 0
     private var lineStart = 0
     private var eventId: String? = null
+    private var hasField = false
 
-    /** Number of forwarded events. */
+    /** Number of forwarded events; comments do not count. */
     public var events: Int = 0
         private set
 
+    /** Size of the incomplete event in bytes. */
+    public val pendingBytes: Int get() = size
+
     /** Adds bytes of the current attempt and returns the events that they complete, if any. */
     public fun feed(bytes: ByteArray): ByteArray {
-        val out = ByteArrayOutputStream(bytes.size)
-        for (byte in bytes) {
-            buffer.write(byte.toInt())
-            if (byte == NEWLINE) endLine(out)
+        val out = ByteArrayOutputStream()
+        val scanFrom = size
+        append(bytes)
+        var eventStart = 0
+        for (i in scanFrom until size) {
+            if (buffer[i] != NEWLINE) continue
+            if (isBlank(lineStart, i)) {
+                endEvent(eventStart, i + 1, out)
+                eventStart = i + 1
+            } else {
+                readField(String(buffer, lineStart, i - lineStart, Charsets.UTF_8))
+            }
+            lineStart = i + 1
         }
+        discard(eventStart)
         return out.toByteArray()
     }
 
     /** Discards the incomplete event, since another attempt follows. */
     public fun restart() {
-        buffer.reset()
+        size = 0
         lineStart = 0
-        eventId = null
+        startEvent()
     }
 
     /** Returns the remaining bytes at the end of a complete stream. */
-    public fun finishStream(): ByteArray = buffer.toByteArray().also { restart() }
-
-    private fun endLine(out: ByteArrayOutputStream) {
-        val text = buffer.toByteArray()
-        val line = String(text, lineStart, text.size - lineStart, Charsets.UTF_8).trimEnd()
-        lineStart = text.size
-        if (line.isNotEmpty()) {
-            if (line.startsWith(ID_FIELD)) eventId = line.substring(ID_FIELD.length).trim()
-            return
+    public fun finishStream(): ByteArray = buffer.copyOf(size).also { restart() }
+
+    private fun append(bytes: ByteArray) {
+        if (size + bytes.size > buffer.size) {
+            buffer = buffer.copyOf(maxOf(2 * buffer.size, size + bytes.size))
         }
+        bytes.copyInto(buffer, size)
+        size += bytes.size
+    }
+
+    private fun discard(count: Int) {
+        if (count == 0) return
+        buffer.copyInto(buffer, 0, count, size)
+        size -= count
+        lineStart -= count
+    }
+
+    private fun isBlank(start: Int, end: Int): Boolean =
+        end == start || (end == start + 1 && buffer[start] == CARRIAGE_RETURN)
+
+    private fun readField(line: String) {
+        if (line.startsWith(ID_FIELD)) eventId = line.substring(ID_FIELD.length).trim()
+        if (!line.startsWith(COMMENT)) hasField = true
+    }
+
+    private fun endEvent(start: Int, end: Int, out: ByteArrayOutputStream) {
         if (isUnseen(eventId)) {
-            out.write(text)
-            if (eventId != null) {
-                lastId = eventId
-                events++
-            }
+            out.write(buffer, start, end - start)
+            if (hasField) events++
+            eventId?.let { lastId = it }
         }
-        restart()
+        startEvent()
+    }
+
+    private fun startEvent() {
+        eventId = null
+        hasField = false
     }
 
     private fun isUnseen(id: String?): Boolean {
@@ -65,7 +102,10 @@
     }
 
     private companion object {
+        const val INITIAL_BYTES = 512
         const val NEWLINE = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ':'
     }
 }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -153,9 +153,12 @@
     /** A complete response arrived. */
     DONE(mayHaveRun = true),
 
-    /** The target responded with an error or with an invalid response. */
+    /** The target responded with an error or not in time. */
     FAILED(mayHaveRun = true),
 
+    /** The target sent bytes that are no response to the request, or more than a response may be. */
+    MALFORMED(mayHaveRun = true),
+
     /** The connection was closed before the response was complete. */
     BROKEN(mayHaveRun = true),
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -106,8 +106,11 @@
                 ejectionTime = ZERO
                 recordLatency(now - request.startedAt)
             }
-            AttemptOutcome.FAILED, AttemptOutcome.SHED, AttemptOutcome.BROKEN ->
-                failureEwma += (1.0 - failureEwma) * EWMA_WEIGHT
+            AttemptOutcome.FAILED,
+            AttemptOutcome.MALFORMED,
+            AttemptOutcome.SHED,
+            AttemptOutcome.BROKEN,
+            -> failureEwma += (1.0 - failureEwma) * EWMA_WEIGHT
             AttemptOutcome.SILENT, AttemptOutcome.UNREACHABLE, AttemptOutcome.REPLACED -> {
                 failureEwma += (1.0 - failureEwma) * EWMA_WEIGHT
                 eject(now)
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeTest.kt
@@ -247,6 +247,132 @@
         assertEquals(1_500.milliseconds, assertIs<ExchangeEffect.Send>(effects.single()).remaining)
     }
 
+    @Test
+    fun `a line without end fails the attempt and the stream resumes elsewhere`() {
+        val scenario = Scenario(CallKind.RESUMABLE_STREAM, one, two)
+        scenario.begin()
+        scenario.exchange.onResponseHead(1, head(200), start)
+        scenario.exchange.onBody(1, bytes("id: 1\n\n"), start)
+        val effects = scenario.feedUntilEffects { bytes("x".repeat(CHUNK_BYTES)) }
+        assertEquals(ExchangeEffect.Cancel(1), effects[0])
+        assertEquals("1", assertIs<ExchangeEffect.Send>(effects[1]).resumeAfterEventId)
+    }
+
+    @Test
+    fun `an unsigned response without end fails the attempt`() {
+        val scenario = Scenario(CallKind.NON_IDEMPOTENT, one, two)
+        scenario.begin()
+        scenario.exchange.onResponseHead(1, head(200, sealed = false), start)
+        val effects = scenario.feedUntilEffects { ByteArray(CHUNK_BYTES) }
+        assertEquals(ExchangeEffect.Cancel(1), effects[0])
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, refusal(effects).code)
+        assertEquals(1, scenario.sends)
+    }
+
+    @Test
+    fun `a response to another request without end fails the attempt`() {
+        val scenario = Scenario(CallKind.IDEMPOTENT, one, two)
+        scenario.begin()
+        scenario.exchange.onResponseHead(1, head(200, requestId = "someone-else"), start)
+        val effects = scenario.feedUntilEffects { ByteArray(CHUNK_BYTES) }
+        assertEquals(ExchangeEffect.Cancel(1), effects[0])
+        assertEquals(two, assertIs<ExchangeEffect.Send>(effects[1]).target)
+    }
+
+    @Test
+    fun `responses to other requests without end fail the attempt`() {
+        val scenario = Scenario(CallKind.IDEMPOTENT, one, two)
+        scenario.begin()
+        var effects = emptyList<ExchangeEffect>()
+        repeat(100) {
+            if (effects.isNotEmpty()) return@repeat
+            effects = scenario.exchange.onResponseHead(1, head(200, requestId = "r$it"), start)
+            scenario.exchange.onEnd(1, true, start)
+        }
+        assertEquals(ExchangeEffect.Cancel(1), effects[0])
+    }
+
+    @Test
+    fun `a stream that sends comments or single bytes but no events is stalled`() {
+        listOf(":\n\n", "x", ": still here\n").forEach { trickle ->
+            val scenario = Scenario(CallKind.RESUMABLE_STREAM, one, two, replicaTarget = two)
+            scenario.begin()
+            scenario.exchange.onResponseHead(1, head(200), start)
+            scenario.exchange.onBody(1, bytes("id: 1\n\n"), start)
+            val due = scenario.exchange.wakeAt
+            for (elapsed in 50..350 step 50) {
+                scenario.exchange.onBody(1, bytes(trickle), start + elapsed.milliseconds)
+            }
+            assertEquals(due, scenario.exchange.wakeAt, trickle)
+            val effects = scenario.exchange.onTimer(due, ZERO)
+            assertEquals(ExchangeEffect.Cancel(1), effects[0])
+            assertIs<ExchangeEffect.Send>(effects[1])
+        }
+    }
+
+    @Test
+    fun `a large event that arrives steadily is not a stall`() {
+        val scenario = Scenario(CallKind.RESUMABLE_STREAM, one, two, replicaTarget = two)
+        scenario.begin()
+        scenario.exchange.onResponseHead(1, head(200), start)
+        scenario.exchange.onBody(1, bytes("id: 1\n\nid: 2\ndata: "), start)
+        for (elapsed in 100..2_000 step 100) {
+            val now = start + elapsed.milliseconds
+            scenario.exchange.onBody(1, bytes("x".repeat(2_000)), now)
+            assertTrue(scenario.exchange.wakeAt > now + 100.milliseconds)
+        }
+        val now = start + 2.seconds
+        assertTrue(text(scenario.exchange.onBody(1, bytes("\n\n"), now)).startsWith("id: 2"))
+        assertEquals(1, scenario.sends)
+    }
+
+    @Test
+    fun `a stalled stream that cannot be retried is kept and goes on`() {
+        val scenarios = listOf(
+            Scenario(CallKind.RESUMABLE_STREAM, one, two, maxAttempts = 1),
+            Scenario(CallKind.RESUMABLE_STREAM, one, two, budget = RetryBudget(0.0, 0)),
+        )
+        scenarios.forEach { scenario ->
+            scenario.begin()
+            scenario.exchange.onResponseHead(1, head(200), start)
+            scenario.exchange.onBody(1, bytes("id: 1\n\n"), start)
+            val later = start + 3.seconds
+            while (scenario.exchange.wakeAt < later) {
+                val effects = scenario.exchange.onTimer(scenario.exchange.wakeAt, ZERO)
+                assertTrue(effects.all { it is ExchangeEffect.Probe }, "$effects")
+            }
+            val next = scenario.exchange.onBody(1, bytes("id: 2\n\n"), later)
+            assertEquals("id: 2\n\n", text(next))
+        }
+    }
+
+    @Test
+    fun `a silent call that cannot be retried is kept until its deadline`() {
+        val scenario = Scenario(CallKind.IDEMPOTENT, one, two, maxAttempts = 2)
+        scenario.begin()
+        val silent = scenario.exchange.onTimer(scenario.exchange.wakeAt, ZERO)
+        assertEquals(ExchangeEffect.Cancel(1), silent[0])
+        assertIs<ExchangeEffect.Send>(silent[1])
+        val due = scenario.exchange.wakeAt
+        assertEquals(0, scenario.exchange.onTimer(due, ZERO).size)
+        assertEquals(scenario.exchange.call.deadline, scenario.exchange.wakeAt)
+        scenario.exchange.onResponseHead(2, head(200), due + 1.seconds)
+        val effects = scenario.exchange.onEnd(2, true, due + 1.seconds)
+        assertIs<ExchangeEffect.End>(effects.last())
+    }
+
+    @Test
+    fun `a large response that pauses is not retried after a part of it was forwarded`() {
+        val scenario = Scenario(CallKind.IDEMPOTENT, one, two)
+        scenario.begin()
+        scenario.exchange.onResponseHead(1, head(200), start)
+        scenario.feedUntilEffects { ByteArray(CHUNK_BYTES) }
+        assertEquals(0, scenario.exchange.onTimer(scenario.exchange.wakeAt, ZERO).size)
+        val effects = scenario.exchange.onEnd(1, true, start + 1.seconds)
+        assertIs<ExchangeEffect.End>(effects.last())
+        assertEquals(1, scenario.sends)
+    }
+
     private fun bytes(text: String) = text.encodeToByteArray()
 
     private fun text(effects: List<ExchangeEffect>) =
@@ -288,5 +414,19 @@
         val sends: Int get() = policy.placed
 
         fun begin() = exchange.start(start)
+
+        /** Feeds chunks of the first attempt's body until the exchange reacts. */
+        fun feedUntilEffects(chunk: () -> ByteArray): List<ExchangeEffect> {
+            repeat(MAX_CHUNKS) {
+                val effects = exchange.onBody(1, chunk(), start)
+                if (effects.isNotEmpty()) return effects
+            }
+            error("${MAX_CHUNKS * CHUNK_BYTES} bytes were accepted")
+        }
+    }
+
+    private companion object {
+        const val CHUNK_BYTES = 65_536
+        const val MAX_CHUNKS = 32
     }
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SseFramerTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SseFramerTest.kt
@@ -1,5 +1,6 @@
 package burdockspread.forward.exchange
 
+import org.junit.jupiter.api.Timeout
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -37,5 +38,27 @@
         }
     }
 
+    @Test
+    fun `chunk boundaries do not change the ids and the number of events`() {
+        val stream = "id: 1\ndata: a\n\n: comment\n\ndata: b\n\nid: 2\ndata: c\n\nid: 2\n\n"
+        for (size in 1..stream.length) {
+            val framer = SseFramer()
+            stream.chunked(size).forEach { framer.text(it) }
+            assertEquals("2", framer.lastId)
+            assertEquals(3, framer.events, "chunks of $size")
+        }
+    }
+
+    /** With work that grows with the square of the event's size this takes hours. */
+    @Test
+    @Timeout(60)
+    fun `the cost of an event grows with its size`() {
+        val framer = SseFramer()
+        val lines = "d\n".repeat(1_024).encodeToByteArray()
+        repeat(4_096) { framer.feed(lines) }
+        framer.feed(byteArrayOf('\n'.code.toByte()))
+        assertEquals(1, framer.events)
+    }
+
     private fun SseFramer.text(bytes: String) = String(feed(bytes.encodeToByteArray()))
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/log/LogRateLimiterTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/log/LogRateLimiterTest.kt
@@ -15,7 +15,7 @@
     fun `a flood of one event is rate limited without affecting other events`() {
         val written = (1..100_000).count {
             limiter.tryAcquire(
-                "answered",
+                "responded",
                 now + (it / 10).milliseconds,
             )
         }
@@ -25,17 +25,17 @@
 
     @Test
     fun `suppressed lines are reported once`() {
-        repeat(50) { limiter.tryAcquire("answered", now) }
-        assertEquals(mapOf("answered" to 30), limiter.takeSuppressed(now))
+        repeat(50) { limiter.tryAcquire("responded", now) }
+        assertEquals(mapOf("responded" to 30), limiter.takeSuppressed(now))
         assertEquals(emptyMap(), limiter.takeSuppressed(now + 5.seconds))
     }
 
     @Test
     fun `reports come at most once a second`() {
-        repeat(21) { limiter.tryAcquire("answered", now) }
+        repeat(21) { limiter.tryAcquire("responded", now) }
         limiter.takeSuppressed(now)
-        limiter.tryAcquire("answered", now)
+        limiter.tryAcquire("responded", now)
         assertEquals(emptyMap(), limiter.takeSuppressed(now + 500.milliseconds))
-        assertEquals(mapOf("answered" to 1), limiter.takeSuppressed(now + 1.seconds))
+        assertEquals(mapOf("responded" to 1), limiter.takeSuppressed(now + 1.seconds))
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -122,8 +122,8 @@
         val domain = FailureDomainId(self.failureDomain)
         val following =
             Following(HostId(self.name), domain, viewUpdater, peers, clock, scope, ::watch)
-        scope.launch { following.run() }
-        scope.launch { peers.run() }
+        scope.launchSupervised("following", following::run)
+        scope.launchSupervised("peer updates", peers::run)
         val hostList = HostList(
             self.name,
             self.failureDomain,
@@ -134,12 +134,14 @@
             val nearby = listed.filter { it.failureDomain == domain && it.id.value != self.name }
             loads?.onPeers(nearby.map { it.peerAddress })
         }
-        scope.launch { hostList.run() }
+        scope.launchSupervised("host list", hostList::run)
     }
 
     private suspend fun watch(): Unit = coroutineScope {
         val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
-        kinds.forEach { kind -> launch { KindWatcher(kind, store, viewUpdater, clock).run() } }
+        kinds.forEach { kind ->
+            launchSupervised("watch of $kind") { KindWatcher(kind, store, viewUpdater, clock).run() }
+        }
     }
 
     private suspend fun finish() {
@@ -196,7 +198,7 @@
     private fun handlePeerLoss(body: ByteArray): SimpleHttpResponse {
         val loss = TargetLoss.parseFrom(body)
         transport.requests.execute {
-            val policy = pools.pool(ServiceId(loss.service)).policy
+            val policy = pools.entries()[ServiceId(loss.service)]?.policy ?: return@execute
             if (policy.onPeerLostTarget(TargetId(loss.target), clock.now())) {
                 scope.launch { peers.reportLoss(loss) }
             }
@@ -216,7 +218,7 @@
                 else -> reply(SimpleHttpResponse(NOT_FOUND))
             }
         } catch (e: InvalidProtocolBufferException) {
-            log.onProcess("peer_unreadable", "$path: ${e.message}")
+            log.onProcess("peer_message_invalid", "$path: ${e.message}")
             reply(SimpleHttpResponse(BAD_REQUEST))
         }
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -1,6 +1,7 @@
 /** Structured log of requests and of changes to the host's view. */
 package burdockspread.forward.host
 
+import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.Catalog
 import burdockspread.forward.directory.TargetEntry
@@ -37,7 +38,7 @@
             .with("attempt", send.attemptNumber.toString())
             .with("target", send.target.id.value)
             .with("after_event", send.resumeAfterEventId.orEmpty())
-            .with("copy_at", send.replicaAddress.orEmpty())
+            .with("replica_address", send.replicaAddress.orEmpty())
             .info(requestLimiter)
     }
 
@@ -50,13 +51,16 @@
         now: Instant,
     ) {
         if (outcome == AttemptOutcome.DONE) return
-        requestEvent(call, "attempt_failed", now)
+        val event = requestEvent(call, "attempt_failed", now)
             .with("attempt", attemptNumber.toString())
             .with("target", target.id.value)
             .with("address", target.address)
             .with("outcome", outcome.name)
             .with("detail", detail)
-            .info(requestLimiter)
+        if (outcome == AttemptOutcome.MALFORMED) {
+            event.with("code", ErrorCode.MALFORMED_RESPONSE.number.toString())
+        }
+        event.info(requestLimiter)
     }
 
     override fun onResumed(
@@ -65,14 +69,14 @@
         target: TargetEntry,
         pause: Duration,
         now: Instant,
-    ): Unit = requestEvent(call, "goes_on", now)
+    ): Unit = requestEvent(call, "stream_resumed", now)
         .with("attempt", attemptNumber.toString())
         .with("target", target.id.value)
         .with("pause_ms", pause.inWholeMilliseconds.toString())
         .info(requestLimiter)
 
     override fun onResponded(call: Call, status: Int, attempts: Int, now: Instant): Unit =
-        requestEvent(call, "answered", now)
+        requestEvent(call, "responded", now)
             .with("status", status.toString())
             .with("attempts", attempts.toString())
             .info(requestLimiter)
@@ -88,13 +92,13 @@
             .warn()
 
     override fun onResponseAborted(call: Call, reason: String, attempts: Int, now: Instant): Unit =
-        requestEvent(call, "broken_off", now)
+        requestEvent(call, "response_aborted", now)
             .with("detail", reason)
             .with("attempts", attempts.toString())
             .warn()
 
     override fun onCallerGone(call: Call, attempts: Int, now: Instant): Unit =
-        requestEvent(call, "caller_gone", now)
+        requestEvent(call, "caller_disconnected", now)
             .with("attempts", attempts.toString())
             .info(requestLimiter)
 
@@ -106,7 +110,7 @@
             .info(stateLimiter)
 
     override fun onCatalogUnreadable(version: Long, reason: String): Unit =
-        stateEvent("configuration_unreadable")
+        stateEvent("configuration_invalid")
             .with("store_version", version.toString())
             .with("detail", reason)
             .warn()
@@ -119,18 +123,18 @@
             .info(stateLimiter)
 
     override fun onTargetGone(name: String, version: Long): Unit = stateEvent(
-        "target_gone",
+        "target_removed",
     ).with("target", name).with("store_version", version.toString()).info(stateLimiter)
 
     override fun onStoreLost(kind: String, reason: String): Unit =
         stateEvent("store_lost").with("kind", kind).with("detail", reason).warn()
 
     override fun onStoreReconnected(kind: String): Unit =
-        stateEvent("store_regained").with("kind", kind).warn()
+        stateEvent("store_reconnected").with("kind", kind).warn()
 
     /** Logs a request that was refused before it was resolved into a call. */
     fun onRequestRejected(id: String?, path: String, refusal: Refusal): Unit =
-        stateEvent("turned_away")
+        stateEvent("rejected")
             .with("request", id.orEmpty())
             .with("path", path)
             .with("code", refusal.code.number.toString())
@@ -138,6 +142,13 @@
             .with("detail", refusal.detail)
             .info(requestLimiter)
 
+    /** Logs an unexpected exception, which ended the request with [id]. */
+    fun onInternalError(id: String, cause: Exception): Unit = stateEvent("internal_error")
+        .with("request", id)
+        .with("code", ErrorCode.INTERNAL.number.toString())
+        .with("detail", cause.stackTraceToString())
+        .info(requestLimiter)
+
     fun onProcess(event: String, detail: String): Unit =
         log.info(stateEvent(event).with("detail", detail))
 
@@ -156,7 +167,7 @@
         val at = now()
         if (limiter.tryAcquire(get("event").orEmpty(), at)) log.info(this)
         val dropped = limiter.takeSuppressed(at)
-        if (dropped.isNotEmpty()) log.warn(stateEvent("lines_left_out").with("counts", "$dropped"))
+        if (dropped.isNotEmpty()) log.warn(stateEvent("lines_suppressed").with("counts", "$dropped"))
     }
 
     private fun StringMapMessage.warn(): Unit = log.warn(this)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -39,12 +39,12 @@
     }
 
     override fun onWaiting(call: Call, now: Instant) {
-        count("burdock_forward_waits_total", "service", call.service.value)
+        count("burdock_forward_queued_total", "service", call.service.value)
         delegate.onWaiting(call, now)
     }
 
     override fun onSent(call: Call, send: ExchangeEffect.Send, now: Instant) {
-        val kind = if (send.attemptNumber == 1) "first" else "again"
+        val kind = if (send.attemptNumber == 1) "first" else "retry"
         count("burdock_forward_attempts_total", "service", call.service.value, "kind", kind)
         delegate.onSent(call, send, now)
     }
@@ -75,7 +75,7 @@
 
     override fun onResponded(call: Call, status: Int, attempts: Int, now: Instant) {
         val took = (now - call.receivedAt).toJavaDuration()
-        timer("burdock_forward_answer_seconds", call).record(took)
+        timer("burdock_forward_response_seconds", call).record(took)
         delegate.onResponded(call, status, attempts, now)
     }
 
@@ -85,12 +85,12 @@
     }
 
     override fun onResponseAborted(call: Call, reason: String, attempts: Int, now: Instant) {
-        count("burdock_forward_broken_off_total", "service", call.service.value)
+        count("burdock_forward_aborted_responses_total", "service", call.service.value)
         delegate.onResponseAborted(call, reason, attempts, now)
     }
 
     override fun onCallerGone(call: Call, attempts: Int, now: Instant) {
-        count("burdock_forward_callers_gone_total", "service", call.service.value)
+        count("burdock_forward_disconnected_callers_total", "service", call.service.value)
         delegate.onCallerGone(call, attempts, now)
     }
 
@@ -122,6 +122,12 @@
         delegate.onRequestRejected(id, path, refusal)
     }
 
+    /** Counts an unexpected exception, which ended the request with [id]. */
+    fun onInternalError(id: String, cause: Exception) {
+        count("burdock_forward_internal_errors_total")
+        delegate.onInternalError(id, cause)
+    }
+
     private fun countRefusal(refusal: Refusal): Unit =
         count("burdock_forward_refusals_total", "code", refusal.code.number.toString())
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
+import burdockspread.net.isIpv4Endpoint
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -68,7 +69,8 @@
     }
 
     private fun host(stored: StoredObject): ListedHost? {
-        val peer = ADDRESS.find(stored.value)?.groupValues?.get(1) ?: return null
+        val peer = ADDRESS.find(stored.value)?.groupValues?.get(1)?.takeIf(::isIpv4Endpoint)
+            ?: return null
         val where = DOMAIN.find(stored.value)?.groupValues?.get(1).orEmpty()
         return ListedHost(HostId(stored.key.name), FailureDomainId(where), peer)
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -92,7 +92,8 @@
                     log.warn("load report from {} is malformed: {}", packet.sender(), e.message)
                     return
                 }
-            val runs = message.targetsList.associate { TargetId(it.target) to it.runs }
+            val runs = message.targetsList.filter { it.runs in VALID_RUNS }
+                .associate { TargetId(it.target) to it.runs }
             loads.onReport(HostId(message.host), message.sequence, runs, now())
         }
 
@@ -104,6 +105,8 @@
     }
 
     private companion object {
+        /** Requests of one host at one target; other numbers are malformed. */
+        val VALID_RUNS = 0..100_000
         val log = LogManager.getLogger(LoadExchange::class.java)
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpVersion
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -49,6 +48,7 @@
         protocol = deployment.protocol,
         now = clock::now,
         prober = ::probe,
+        onError = metrics::onInternalError,
         onProgress = ::onProgress,
     )
 
@@ -61,12 +61,7 @@
 
     /** Starts the periodic tick. */
     fun start() {
-        transport.requests.scheduleAtFixedRate(
-            ::tick,
-            TICK_MILLIS,
-            TICK_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        transport.requests.scheduleSupervised("request tick", TICK_INTERVAL, ::tick)
     }
 
     fun onConnection(channel: SocketChannel) {
@@ -96,6 +91,17 @@
     override fun onRequest(
         request: BufferedRequest,
         writer: ResponseWriter,
+    ): CallerConnectionListener = try {
+        handle(request, writer)
+    } catch (e: Exception) {
+        metrics.onInternalError("", e)
+        writer.refuse(Refusal(ErrorCode.INTERNAL, "internal error"))
+        IgnoringListener
+    }
+
+    private fun handle(
+        request: BufferedRequest,
+        writer: ResponseWriter,
     ): CallerConnectionListener {
         val now = clock.now()
         val snapshot = view()
@@ -182,7 +188,7 @@
     }
 
     private companion object {
-        const val TICK_MILLIS = 50L
+        val TICK_INTERVAL = 50.milliseconds
         const val SWEEP_TICKS = 10
 
         /** The balancer stops sending callers here after two failed probes, a second apart. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
 import java.io.ByteArrayOutputStream
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -35,8 +36,16 @@
     public val contentType: String = "application/json",
 )
 
-/** Makes calls on [loop] and buffers the responses. */
-public class Calls(private val connections: Connections, private val loop: EventLoop) {
+/**
+ * Makes calls on [loop] and buffers the responses.
+ *
+ * @param maxBodyBytes size beyond which a response is malformed; its connection is closed.
+ */
+public class Calls(
+    private val connections: Connections,
+    private val loop: EventLoop,
+    private val maxBodyBytes: Int = MAX_BODY_BYTES,
+) {
     private val dispatcher = loop.asCoroutineDispatcher()
 
     /** Calls [address] and waits for at most [timeout]. */
@@ -48,7 +57,7 @@
     private suspend fun exchange(address: String, request: CallRequest): CallResult =
         suspendCancellableCoroutine { continuation ->
             var outgoing: OutgoingRequest? = null
-            val handler = BufferingResponseHandler { result, reusable ->
+            val handler = BufferingResponseHandler(maxBodyBytes) { result, reusable ->
                 outgoing?.let {
                     if (result is CallResult.Response) it.release(reusable) else it.cancel()
                 }
@@ -70,10 +79,19 @@
             }
         }
     }
+
+    private companion object {
+        /** Four times the largest value of the store, which lists may exceed a little. */
+        const val MAX_BODY_BYTES = 4_194_304
+    }
 }
 
-private class BufferingResponseHandler(private val onResult: (CallResult, Boolean) -> Unit) :
-    ResponseHandler {
+private val log = LogManager.getLogger(Calls::class.java)
+
+private class BufferingResponseHandler(
+    private val maxBodyBytes: Int,
+    private val onResult: (CallResult, Boolean) -> Unit,
+) : ResponseHandler {
     private val body = ByteArrayOutputStream()
     private var status = 0
 
@@ -81,7 +99,12 @@
         status = response.status().code()
     }
 
-    override fun onBody(bytes: ByteArray): Unit = body.write(bytes)
+    override fun onBody(bytes: ByteArray) {
+        if (body.size() + bytes.size <= maxBodyBytes) return body.write(bytes)
+        log.warn("a response exceeds {} bytes; the connection is closed", maxBodyBytes)
+        body.reset()
+        onResult(CallResult.NoResponse, false)
+    }
 
     override fun onEnd(reusable: Boolean): Unit =
         onResult(CallResult.Response(status, body.toByteArray()), reusable)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
@@ -1,6 +1,8 @@
 /** Execution of an exchange's effects. */
 package burdockspread.forward.http
 
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
 import burdockspread.forward.exchange.AttemptFailure
 import burdockspread.forward.exchange.Exchange
 import burdockspread.forward.exchange.ExchangeEffect
@@ -25,6 +27,8 @@
     val protocol: ProtocolAdapter,
     val now: () -> Instant,
     val prober: TargetProber,
+    /** Called with the request's id after an unexpected exception, which ended the request. */
+    val onError: (String, Exception) -> Unit,
     /** Called after effects were executed, since capacity may have become free. */
     val onProgress: (ExchangeRunner) -> Unit,
 )
@@ -44,38 +48,58 @@
     private var outgoing: OutgoingRequest? = null
     private var sentAttemptNumber = 0
     private var wakeAt: Instant = Instant.DISTANT_FUTURE
+    private var hasBegun = false
 
     fun start(): ExchangeRunner {
-        execute(exchange.start(context.now()))
+        step { start(it) }
         return this
     }
 
-    fun onPlacement(decision: PlacementDecision): Unit =
-        execute(exchange.onPlacement(decision, context.now()))
+    fun onPlacement(decision: PlacementDecision): Unit = step { onPlacement(decision, it) }
 
-    fun onStop(): Unit = execute(exchange.onStop(context.now()))
+    fun onStop(): Unit = step { onStop(it) }
 
-    override fun onCallerGone(): Unit = execute(exchange.onCallerGone(context.now()))
+    override fun onCallerGone(): Unit = step { onCallerGone(it) }
 
     override fun onWritable(writable: Boolean) {
         outgoing?.setReading(writable)
     }
 
-    private fun execute(effects: List<ExchangeEffect>) {
-        effects.forEach(::execute)
-        if (!exchange.isEnded) schedule()
+    /** Passes an event to the exchange; an unexpected exception ends this request only. */
+    private inline fun step(event: Exchange.(Instant) -> List<ExchangeEffect>) {
+        try {
+            exchange.event(context.now()).forEach(::execute)
+            if (!exchange.isEnded) schedule()
+        } catch (e: Exception) {
+            fail(e)
+        }
         context.onProgress(this)
     }
 
+    private fun fail(cause: Exception) {
+        context.onError(exchange.call.id, cause)
+        outgoing?.cancel()
+        outgoing = null
+        val isAnswered = exchange.isEnded && !hasBegun
+        exchange.onCallerGone(context.now())
+        when {
+            hasBegun -> writer.abort()
+            !isAnswered -> writer.refuse(Refusal(ErrorCode.INTERNAL, "internal error"))
+        }
+    }
+
     private fun execute(effect: ExchangeEffect): Unit = when (effect) {
         is ExchangeEffect.Send -> send(effect)
         is ExchangeEffect.Cancel -> takeOutgoing(effect.attemptNumber)?.cancel() ?: Unit
         is ExchangeEffect.Release -> takeOutgoing(effect.attemptNumber)?.release(effect.reusable)
             ?: Unit
         is ExchangeEffect.Probe -> context.prober.probe(effect.target.address) { alive ->
-            execute(exchange.onProbe(effect.attemptNumber, alive, context.now()))
+            step { onProbe(effect.attemptNumber, alive, it) }
+        }
+        is ExchangeEffect.Begin -> {
+            hasBegun = true
+            writer.begin(effect.head, effect.length)
         }
-        is ExchangeEffect.Begin -> writer.begin(effect.head, effect.length)
         is ExchangeEffect.Body -> writer.body(effect.bytes)
         is ExchangeEffect.End -> writer.end()
         is ExchangeEffect.Refuse -> writer.refuse(effect.refusal)
@@ -125,20 +149,17 @@
         if (planned != wakeAt || exchange.isEnded) return
         wakeAt = Instant.DISTANT_FUTURE
         val now = context.now()
-        if (now >= exchange.wakeAt) execute(exchange.onTimer(now, now - planned)) else schedule()
+        if (now >= exchange.wakeAt) step { onTimer(it, it - planned) } else schedule()
     }
 
     private inner class AttemptResponseHandler(private val attemptNumber: Int) : ResponseHandler {
         override fun onResponseHead(response: HttpResponse) {
-            val head = decode(response)
-            execute(exchange.onResponseHead(attemptNumber, head, context.now()))
+            step { onResponseHead(attemptNumber, decode(response), it) }
         }
 
-        override fun onBody(bytes: ByteArray): Unit =
-            execute(exchange.onBody(attemptNumber, bytes, context.now()))
+        override fun onBody(bytes: ByteArray): Unit = step { onBody(attemptNumber, bytes, it) }
 
-        override fun onEnd(reusable: Boolean): Unit =
-            execute(exchange.onEnd(attemptNumber, reusable, context.now()))
+        override fun onEnd(reusable: Boolean): Unit = step { onEnd(attemptNumber, reusable, it) }
 
         override fun onNotConnected(): Unit = fail(AttemptFailure.NOT_CONNECTED)
 
@@ -146,7 +167,7 @@
             fail(if (malformed) AttemptFailure.MALFORMED else AttemptFailure.BROKEN)
 
         private fun fail(failure: AttemptFailure): Unit =
-            execute(exchange.onFailure(attemptNumber, failure, context.now()))
+            step { onFailure(attemptNumber, failure, it) }
     }
 
     private fun decode(response: HttpResponse): ResponseHead {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.IoEventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -65,6 +66,7 @@
             .group(requests)
             .channel(NioDatagramChannel::class.java)
             .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(handler)
             .bind(InetSocketAddress(ip, port))
             .sync()
@@ -132,6 +134,9 @@
         const val BACKLOG = 1_024
         const val CLOSE_TIMEOUT_MILLIS = 200L
 
+        /** Netty cuts longer datagrams off. A report on 500 targets has about 12,000 bytes. */
+        const val MAX_DATAGRAM_BYTES = 32_768
+
         /** Targets and peers are a few milliseconds away; a lost SYN takes longer than this. */
         val CONNECT_TIMEOUT: Duration = 250.milliseconds
         val KEEP_IDLE = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -4,6 +4,7 @@
 import burdockspread.forward.http.CallRequest
 import burdockspread.forward.http.CallResult
 import burdockspread.forward.http.Calls
+import burdockspread.net.isIpv4Endpoint
 import burdockspread.time.TimeSource
 import burdockspread.wire.forward.NewsReply
 import burdockspread.wire.forward.TargetLoss
@@ -43,9 +44,9 @@
     /** Number of known hosts, including this one. */
     public val hostCount: Int get() = peers.size + 1
 
-    /** Adds a host. */
+    /** Adds a host, unless its address is malformed. */
     public fun onPeer(address: String) {
-        if (address != ownAddress && address.isNotEmpty()) peers += address
+        if (address != ownAddress && isIpv4Endpoint(address)) peers += address
     }
 
     /** Replaces the known hosts by the listed ones; the seeds stay while the store lists none. */
