Never use a connection again that has delivered bytes after a response

Change: a connection with undecoded bytes is closed; after such bytes each connection to that address serves one request only, for 5 s. Ruled out: searching for the next status line, which would accept what a response's body may contain.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
@@ -26,6 +26,9 @@
     /** Whether the request was a HEAD, whose response has no body. */
     var isHead: Boolean = false
 
+    /** Whether bytes have arrived that are not part of a decoded message yet. */
+    val hasUnparsedBytes: Boolean get() = actualReadableBytes() > 0
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHead || super.isContentAlwaysEmpty(message)
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import org.apache.logging.log4j.LogManager
 import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
 
 /** Receives the response to one request. */
 public interface ResponseHandler {
@@ -48,9 +50,15 @@
     public fun setReading(on: Boolean)
 }
 
-/** Connection pool for many addresses. Confined to [loop]. */
+/**
+ * Connection pool for many addresses. Confined to [loop].
+ *
+ * Bytes that follow a response would be read as the start of the next one, so a connection with
+ * such bytes is closed, and for [DISTRUST_TIME] no connection to its address is used twice.
+ */
 public class Connections(private val transport: Transport, private val loop: EventLoop) {
     private val idle = HashMap<String, ArrayDeque<IdleConnection>>()
+    private val distrustedUntil = HashMap<String, Long>()
 
     /** Sends [request] to [address] over an idle or a new connection. */
     public fun send(
@@ -78,17 +86,37 @@
         val now = System.nanoTime()
         while (true) {
             val candidate = candidates.removeLastOrNull() ?: return null
-            if (candidate.channel.isActive && now < candidate.usableUntil) return candidate.channel
+            if (candidate.isUsable(now) && !isDistrusted(address, now)) return candidate.channel
             candidate.channel.close()
         }
     }
 
+    private fun isDistrusted(address: String, now: Long): Boolean {
+        val until = distrustedUntil[address] ?: return false
+        if (now >= until) distrustedUntil -= address
+        return now < until
+    }
+
+    private fun distrust(address: String) {
+        if (distrustedUntil.put(address, System.nanoTime() + DISTRUST_TIME.inWholeNanoseconds) == null) {
+            log.info("target {} sent bytes after a response", address)
+        }
+    }
+
     private fun returnToPool(address: String, channel: Channel, receiver: Receiver) {
         val until = System.nanoTime() + receiver.keepAliveMillis * NANOS_PER_MILLI
-        idle.getOrPut(address) { ArrayDeque() }.addLast(IdleConnection(channel, until))
+        val connection = IdleConnection(channel, receiver, until)
+        idle.getOrPut(address) { ArrayDeque() }.addLast(connection)
     }
 
-    private class IdleConnection(val channel: Channel, val usableUntil: Long)
+    private class IdleConnection(
+        val channel: Channel,
+        private val receiver: Receiver,
+        private val usableUntil: Long,
+    ) {
+        fun isUsable(now: Long): Boolean =
+            channel.isActive && now < usableUntil && !receiver.hasUnparsedBytes
+    }
 
     private inner class PooledRequest(
         private val address: String,
@@ -116,6 +144,7 @@
         fun start(connected: Channel) {
             channel = connected
             val receiver = connected.pipeline().get(Receiver::class.java)
+            receiver.onUnsolicitedBytes = { distrust(address) }
             receiver.begin(handler, request.method() == HttpMethod.HEAD) { written }
             connected.writeAndFlush(request).addListener { written = it.isSuccess }
         }
@@ -132,7 +161,8 @@
             val receiver = open.pipeline().get(Receiver::class.java)
             receiver?.detach()
             open.config().isAutoRead = true
-            val kept = reusable && open.isActive && receiver != null
+            if (receiver?.hasUnparsedBytes == true) receiver.onUnsolicitedBytes()
+            val kept = reusable && open.isActive && receiver?.hasUnparsedBytes == false
             if (kept) returnToPool(address, open, receiver) else open.close()
         }
 
@@ -143,6 +173,10 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+
+        /** A target in such trouble repeats it for seconds; new connections cost little meanwhile. */
+        val DISTRUST_TIME = 5.seconds
+        val log = LogManager.getLogger(Connections::class.java)
     }
 }
 
@@ -154,6 +188,10 @@
     private var keepAlive = true
     private var isInterim = false
 
+    /** Called when bytes have arrived that belong to no request. */
+    var onUnsolicitedBytes: () -> Unit = {}
+    val hasUnparsedBytes: Boolean get() = decoder.hasUnparsedBytes
+
     /** Keep-alive time of the target, less a margin for network latency. */
     var keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS
         private set
@@ -174,6 +212,7 @@
         if (activeHandler == null) {
             // No request expects these bytes, so nothing that follows on this connection can be
             // trusted.
+            onUnsolicitedBytes()
             context.close()
             return
         }
