Open the callers' port first, and make the log configuration take effect

Change: main opens the port before anything else is loaded (listenEarly); the kernel queues connections and the host accepts them once it has started.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -29,14 +29,20 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.nio.channels.ServerSocketChannel
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Runs the forwarder of one host on the platform described by [deployment]. */
+/**
+ * Runs the forwarder of one host on the platform described by [deployment].
+ *
+ * @param earlyListener result of [listenEarly] for the same settings.
+ */
 public class ForwardHost(
     private val settings: ForwardSettings,
     private val deployment: Deployment,
+    private val earlyListener: ServerSocketChannel? = null,
 ) {
     private val clock = MonotonicClock()
     private val log = ForwardLog(clock::now)
@@ -79,7 +85,7 @@
         follow()
         val readyServer = SimpleHttpServer { path, _, reply -> reply(readiness(path)) }
         transport.listen(transport.requests, settings.readyAddress, readyServer::onConnection)
-        transport.listen(transport.requests, settings.callerAddress, server::onConnection)
+        listenForCallers()
         val peerServer = SimpleHttpServer(::handlePeerRequest)
         transport.listen(transport.control, settings.peerAddress, peerServer::onConnection)
         val operators = SimpleHttpServer { path, _, reply -> reply(operator(path)) }
@@ -117,6 +123,15 @@
     /** Waits until the host has drained. */
     public suspend fun awaitStop(): ExitCode = stopped.await()
 
+    private fun listenForCallers() {
+        val loop = transport.requests
+        if (earlyListener == null) {
+            transport.listen(loop, settings.callerAddress, server::onConnection)
+        } else {
+            transport.accept(loop, earlyListener, server::onConnection)
+        }
+    }
+
     private fun follow() {
         val self = settings.host
         val domain = FailureDomainId(self.failureDomain)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -21,6 +21,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import java.net.InetSocketAddress
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,19 +47,33 @@
         onConnection: (SocketChannel) -> Unit,
     ): Channel {
         val (ip, port) = parseEndpoint(address)
-        return ServerBootstrap()
-            .group(loop)
+        return server(loop, onConnection)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer(onConnection))
             .bind(InetSocketAddress(ip, port))
             .sync()
             .channel()
     }
 
+    /** Accepts the connections of [listener] on [loop]. */
+    public fun accept(
+        loop: EventLoop,
+        listener: ServerSocketChannel,
+        onConnection: (SocketChannel) -> Unit,
+    ): Channel = server(loop, onConnection)
+        .channelFactory { NioServerSocketChannel(listener) }
+        .register()
+        .sync()
+        .channel()
+
+    private fun server(loop: EventLoop, onConnection: (SocketChannel) -> Unit): ServerBootstrap =
+        ServerBootstrap()
+            .group(loop)
+            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(onConnection))
+
     /** Receives datagrams at [address], an IP:port, on the request loop. */
     public fun listenDatagrams(address: String, handler: ChannelHandler): Channel {
         val (ip, port) = parseEndpoint(address)
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/LogConfiguration.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/LogConfiguration.kt
@@ -20,7 +20,7 @@
 
 /** Creates [LogConfiguration]; Log4j finds it by `log4j2.component.properties`. */
 public class LogConfigurationFactory : ConfigurationFactory() {
-    override fun getSupportedTypes(): Array<String> = emptyArray()
+    override fun getSupportedTypes(): Array<String> = arrayOf("*")
 
     override fun getConfiguration(
         context: LoggerContext,
