--- a/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
+++ b/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
@@ -17,7 +17,7 @@
         val log = """
             {"time":"2026-06-01T03:51:03.100Z","message":{"event":"target_removed","target":"i-1"}}
             {"time":"2026-06-01T03:51:03.361Z","message":{"event":"attempt_failed","request":"r1","attempt":"1","target":"i-1","outcome":"SILENT","detail":"silent for 380ms"}}
-            {"time":"2026-06-01T03:51:03.372Z","message":{"event":"stream_resumed","request":"r1","attempt":"2","pause_ms":"391"}}
+            {"time":"2026-06-01T03:51:03.372Z","message":{"event":"resume_succeeded","request":"r1","attempt":"2","pause_ms":"391"}}
             {"time":"2026-06-01T03:51:05.000Z","message":{"event":"responded","request":"r1","status":"200","ms":"5525"}}
         """
         val out = explain("r1", log)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -69,7 +69,7 @@
         target: TargetEntry,
         pause: Duration,
         now: Instant,
-    ): Unit = requestEvent(call, "stream_resumed", now)
+    ): Unit = requestEvent(call, "resume_succeeded", now)
         .with("attempt", attemptNumber.toString())
         .with("target", target.id.value)
         .with("pause_ms", pause.inWholeMilliseconds.toString())
