--- /dev/null
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
@@ -0,0 +1,81 @@
+/** The attempts of one request so far, and whether another one is allowed. */
+package burdockspread.forward.exchange
+
+import burdockspread.forward.directory.TargetEntry
+import burdockspread.forward.load.AttemptOutcome
+import burdockspread.id.TargetId
+import burdockspread.retry.RetryBudget
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+internal class AttemptHistory(private val call: Call, private val budget: RetryBudget) {
+    private val kind = call.route.kind
+    private var failedTargets: PersistentSet<TargetId> = persistentSetOf()
+
+    /** Attempts that reached the intended target; limited by the route's maximum attempts. */
+    private var reached = 0
+
+    /** Number of attempts. */
+    var count = 0
+        private set
+
+    /** Number of attempts that may have executed the request. */
+    var delivered = 0
+        private set
+
+    /** Target with a KV cache replica of an earlier attempt, until it has been tried. */
+    var replica: TargetEntry? = null
+        private set
+
+    /** Targets that have failed the request. */
+    val avoidedTargets: ImmutableSet<TargetId> get() = failedTargets
+
+    /**
+     * Records a send to [target]. Returns the target itself if it holds the replica of an earlier
+     * attempt, from which the request then resumes.
+     */
+    fun onSent(target: TargetEntry): TargetEntry? {
+        count++
+        reached++
+        delivered++
+        val source = replica?.takeIf { it.id == target.id }
+        if (source != null) replica = null
+        return source
+    }
+
+    fun onNotConnected() {
+        reached--
+        delivered--
+    }
+
+    /** Records that a target has not executed the request; [isOther]: not the intended target. */
+    fun onNotExecuted(isOther: Boolean) {
+        delivered--
+        if (isOther) reached--
+    }
+
+    fun onFailed(attempt: Attempt, outcome: AttemptOutcome) {
+        failedTargets = failedTargets.add(attempt.target.id)
+        if (outcome.mayHaveRun && attempt.replicaTarget != null) replica = attempt.replicaTarget
+    }
+
+    /** Returns whether another attempt is allowed, and takes it from the retry budget. */
+    fun mayRetry(outcome: AttemptOutcome, now: Instant): Boolean {
+        if (!kind.isRepeatable && delivered > 0) return false
+        if (reached >= call.route.maxAttempts || count >= MAX_SENDS) return false
+        if (call.deadline - now < MIN_ATTEMPT_TIME) return false
+        return outcome == AttemptOutcome.UNREACHABLE || budget.tryAcquire()
+    }
+
+    private companion object {
+        /**
+         * Maximum number of sends per request, including those that reached no target or were not
+         * executed.
+         */
+        const val MAX_SENDS = 8
+        val MIN_ATTEMPT_TIME = 50.milliseconds
+    }
+}
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -4,16 +4,13 @@
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.CallKind
-import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
 import burdockspread.forward.load.PlacementRequest
-import burdockspread.id.TargetId
 import burdockspread.retry.RetryBudget
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentSetOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -27,23 +24,12 @@
 ) : Exchange {
     private val kind = call.route.kind
     private val emitter = ResponseEmitter(call, listener)
-    private var avoidedTargets = persistentSetOf<TargetId>()
+    private val history = AttemptHistory(call, budget)
     private var current: Attempt? = null
     private var waiting = false
 
-    private var attempts = 0
-
-    /** Attempts that reached the intended target; limited by the route's maximum attempts. */
-    private var reachedAttempts = 0
-
-    /** Attempts that may have executed the request. */
-    private var delivered = 0
-
     private var lastEventAt = call.receivedAt
 
-    /** Target with a KV cache replica of an earlier attempt, until it has been tried. */
-    private var replica: TargetEntry? = null
-
     /** Error response of a target, forwarded if no later attempt succeeds. */
     private var lastErrorResponse: BufferedResponse? = null
 
@@ -120,7 +106,7 @@
         )
         if (attempt.isStreaming || attempt.isRelaying) {
             endAttempt(attempt, outcomeOf(head), "status ${head.status}", now)
-            emitter.finishStream(head, attempts, now)
+            emitter.finishStream(head, history.count, now)
         } else {
             completeResponse(attempt, head, now)
         }
@@ -131,10 +117,7 @@
         failure: AttemptFailure,
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
-        if (failure == AttemptFailure.NOT_CONNECTED) {
-            reachedAttempts--
-            delivered--
-        }
+        if (failure == AttemptFailure.NOT_CONNECTED) history.onNotConnected()
         if (failure == AttemptFailure.MALFORMED) {
             rejectResponse(attempt, "not a valid HTTP response", now)
         } else {
@@ -153,7 +136,7 @@
 
     override fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect> = step {
         cancelAttempt(now)
-        emitter.onCallerGone(attempts, now)
+        emitter.onCallerGone(history.count, now)
     }
 
     override fun onTimer(now: Instant, timerDelay: Duration): ImmutableList<ExchangeEffect> = step {
@@ -173,9 +156,8 @@
 
     /** Submits the request to the load policy, for the first attempt or a retry. */
     private fun requestPlacement(now: Instant) {
-        val preferredHolder = replica
         val prompt = call.prompt
-        val first = attempts == 0
+        val first = history.count == 0
         val objective = call.route.latencyObjective
         val wait = if (first) objective * options.queueWaitFraction else options.maxResumeWait
         val request = PlacementRequest(
@@ -185,8 +167,8 @@
             priority = call.priority,
             waitUntil = minOf(call.deadline, now + maxOf(wait, MIN_QUEUE_WAIT)),
             isResume = !first,
-            avoidedTargets = avoidedTargets,
-            preferredTarget = preferredHolder?.id,
+            avoidedTargets = history.avoidedTargets,
+            preferredTarget = history.replica?.id,
             wantsReplica = kind == CallKind.RESUMABLE_STREAM,
         )
         applyPlacement(policy.submit(request, now), now)
@@ -204,12 +186,8 @@
     }
 
     private fun send(placed: PlacementDecision.Placed, now: Instant) {
-        attempts++
-        reachedAttempts++
-        delivered++
-        val fromReplica = replica?.takeIf { it.id == placed.target.id }
-        if (fromReplica != null) replica = null
-        val attempt = Attempt(attempts, placed.target, placed.replicaTarget, now)
+        val fromReplica = history.onSent(placed.target)
+        val attempt = Attempt(history.count, placed.target, placed.replicaTarget, now)
         current = attempt
         val send = ExchangeEffect.Send(
             attemptNumber = attempt.number,
@@ -232,7 +210,7 @@
             return
         }
         val outcome = if (kind.isStream) AttemptOutcome.SILENT else AttemptOutcome.FAILED
-        if (!attempt.isRelaying && mayRetry(outcome, now)) {
+        if (!attempt.isRelaying && history.mayRetry(outcome, now)) {
             emitter.emit(ExchangeEffect.Cancel(attempt.number))
             endFailedAttempt(attempt, outcome, "silent for $silence", now)
             requestPlacement(now)
@@ -278,9 +256,8 @@
         val response = BufferedResponse(head, attempt.buffer.toByteArray())
         when {
             head.notExecuted -> {
-                delivered--
                 val replaced = head.status == MISDIRECTED
-                if (replaced) reachedAttempts--
+                history.onNotExecuted(isOther = replaced)
                 val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
                 failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
             }
@@ -296,7 +273,7 @@
             }
             else -> {
                 endAttempt(attempt, outcomeOf(head), "status ${head.status}", now)
-                emitter.respond(response, attempts, now)
+                emitter.respond(response, history.count, now)
             }
         }
     }
@@ -309,8 +286,8 @@
         now: Instant,
     ) {
         endFailedAttempt(attempt, outcome, detail, now)
-        if (attempt.isRelaying) return emitter.abort("truncated response: $detail", attempts, now)
-        if (!mayRetry(outcome, now)) return finish(exhausted(kind, delivered, outcome, detail), now)
+        if (attempt.isRelaying) return emitter.abort("truncated response: $detail", history.count, now)
+        if (!history.mayRetry(outcome, now)) return finish(exhausted(kind, history.delivered, outcome, detail), now)
         requestPlacement(now)
     }
 
@@ -321,31 +298,23 @@
         now: Instant,
     ) {
         endAttempt(attempt, outcome, detail, now)
-        avoidedTargets = avoidedTargets.add(attempt.target.id)
-        if (outcome.mayHaveRun && attempt.replicaTarget != null) replica = attempt.replicaTarget
+        history.onFailed(attempt, outcome)
         emitter.restart()
     }
 
-    private fun mayRetry(outcome: AttemptOutcome, now: Instant): Boolean {
-        if (!kind.isRepeatable && delivered > 0) return false
-        if (reachedAttempts >= call.route.maxAttempts || attempts >= MAX_SENDS) return false
-        if (call.deadline - now < MIN_ATTEMPT_TIME) return false
-        return outcome == AttemptOutcome.UNREACHABLE || budget.tryAcquire()
-    }
-
     private fun onDeadline(now: Instant) {
         cancelAttempt(now)
         val code =
-            if (delivered > 0) ErrorCode.TARGET_TIMEOUT else ErrorCode.DEADLINE_UNREACHABLE
-        finish(Refusal(code, "the deadline passed after $attempts attempts", null), now)
+            if (history.delivered > 0) ErrorCode.TARGET_TIMEOUT else ErrorCode.DEADLINE_UNREACHABLE
+        finish(Refusal(code, "the deadline passed after ${history.count} attempts", null), now)
     }
 
     /** Ends with a target's error response, with [refusal], or by aborting a started response. */
     private fun finish(refusal: Refusal, now: Instant) {
-        if (emitter.isHeadSent) return emitter.abort(refusal.detail, attempts, now)
+        if (emitter.isHeadSent) return emitter.abort(refusal.detail, history.count, now)
         val errorResponse = lastErrorResponse
-        if (errorResponse != null) return emitter.respond(errorResponse, attempts, now)
-        emitter.refuse(withoutNotRunClaim(refusal, kind, delivered), attempts, now)
+        if (errorResponse != null) return emitter.respond(errorResponse, history.count, now)
+        emitter.refuse(withoutNotRunClaim(refusal, kind, history.delivered), history.count, now)
     }
 
     private fun cancelAttempt(now: Instant) {
@@ -420,16 +389,9 @@
         const val FIRST_SERVER_ERROR = 500
         const val MISDIRECTED = 421
 
-        /**
-         * Maximum number of sends per request, including those that reached no target or were not
-         * executed.
-         */
-        const val MAX_SENDS = 8
-
         /** A longer timer delay is a pause of this host and says nothing about the target. */
         val MAX_TIMER_DELAY = 60.milliseconds
         val MIN_QUEUE_WAIT = 20.milliseconds
-        val MIN_ATTEMPT_TIME = 50.milliseconds
         val SHUTDOWN_RETRY_AFTER = 20.milliseconds
     }
 }
