Attach the entry's handler of document changes and read Idempotency-Attempt; shorten the exchange

Change: the one handler is attached; SendHint. Test: SendHintTest; the wiring itself has no test of its own yet.

--- a/burdock-core/src/main/kotlin/burdockspread/net/Ipv4Endpoint.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/net/Ipv4Endpoint.kt
@@ -14,7 +14,8 @@
         decimal(address.substringAfterLast(':')) in PORTS
 }
 
-private fun decimal(digits: String): Int? =
-    digits.takeIf { it.length <= MAX_DIGITS && it.all { digit -> digit in '0'..'9' } }?.toIntOrNull()
+private fun decimal(digits: String): Int? = digits.takeIf {
+    it.length <= MAX_DIGITS && it.all { digit -> digit in '0'..'9' }
+}?.toIntOrNull()
 
 private operator fun IntRange.contains(value: Int?): Boolean = value != null && contains(value)
--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
@@ -79,7 +79,8 @@
     companion object {
         private val END_EVENTS =
             setOf("responded", "refused", "rejected", "response_aborted", "caller_disconnected")
-        private val HOST_EVENTS = setOf("store_lost", "store_reconnected", "configuration", "stopping")
+        private val HOST_EVENTS =
+            setOf("store_lost", "store_reconnected", "configuration", "stopping")
         private val LEAD_TIME = 5.seconds
 
         /** Returns the timeline of request [id], or null if no line names it. */
--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryProcess.kt
@@ -93,13 +93,7 @@
             settings.store.callTimeout.toKotlinDuration(),
         )
     private val router = TargetRouter(domain, random.nextLong()) { true }
-    private val document =
-        DocumentReplica(
-            object : DocumentListener {
-                override fun onApplied(before: DocumentSnapshot, after: DocumentSnapshot): Unit =
-                    router.rebuild(after.view)
-            },
-        )
+    private val document = DocumentReplica(DocumentChangeHandler())
     private val engines = HttpEngineClient(CONNECT_TIMEOUT)
     private val serviceClient = HttpServiceClient(CONNECT_TIMEOUT)
     private val open =
@@ -215,7 +209,7 @@
             is ServiceRequest -> calls.serve(request, chain.context)
         }
 
-    inner class DocumentChangeHandler : DocumentListener {
+    private inner class DocumentChangeHandler : DocumentListener {
         override fun onApplied(before: DocumentSnapshot, after: DocumentSnapshot) {
             router.rebuild(after.view)
             peers.onDocument(after.view)
--- a/burdock-entry/src/main/kotlin/burdockspread/http/RequestParser.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/http/RequestParser.kt
@@ -38,7 +38,7 @@
         val last = call.request.header(LAST_EVENT_ID)?.let { EventId.parse(it).bind() }
         val text = bodyReader.read(call.request.receiveChannel()).bind()
         val body = CompletionBody.parse(api, text).bind()
-        CompletionRequest(id, apiKey(call), now, body, last)
+        CompletionRequest(id, apiKey(call), now, body, last, sendHint(call) == SendHint.REPEATED)
     }
 
     /** Parses a call to a plain service. */
@@ -63,9 +63,13 @@
             call.parameters["call"].orEmpty(),
             text,
             key?.let { IdempotencyKey(it) },
+            sendHint(call) == SendHint.FIRST,
         )
     }
 
+    private fun sendHint(call: ApplicationCall): SendHint =
+        SendHint.of(call.request.header(IDEMPOTENCY_ATTEMPT))
+
     private fun apiKey(call: ApplicationCall): String? = call.request
         .header(HttpHeaders.Authorization)
         ?.takeIf { it.startsWith(BEARER, ignoreCase = true) }
@@ -76,7 +80,6 @@
         const val REQUEST_ID = "X-Request-Id"
         const val IDEMPOTENCY_KEY = "Idempotency-Key"
         const val IDEMPOTENCY_ATTEMPT = "Idempotency-Attempt"
-        const val FIRST_ATTEMPT = "first"
         const val LAST_EVENT_ID = "Last-Event-ID"
         const val BEARER = "Bearer "
         val NAME_PATTERN = Regex("""[\x21-\x7e]{1,200}""")
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -27,9 +27,8 @@
     /** Whether the response being read belongs to another request; the expected one follows. */
     var isForeign = false
 
-    /** Size and number of the skipped responses to other requests. */
-    var skippedBytes = 0
-    var skippedResponses = 0
+    private var skippedBytes = 0
+    private var skippedResponses = 0
 
     /** Whether to wait for the target however long it is silent, since no retry is possible. */
     var isSilenceTolerated = false
@@ -45,6 +44,25 @@
     var eventCount = 0
     val buffer = ByteArrayOutputStream()
 
+    /** Skips a response to another request; returns the limit that this exceeds, if any. */
+    fun skipResponse(options: ExchangeOptions): String? {
+        isForeign = true
+        isConnectionTainted = true
+        return if (++skippedResponses <= options.maxSkippedResponses) null else "too many responses"
+    }
+
+    /** Skips a part of such a response. */
+    fun skipBytes(count: Int, options: ExchangeOptions): String? {
+        skippedBytes += count
+        return if (skippedBytes <=
+            options.maxSkippedBytes
+        ) {
+            null
+        } else {
+            "a response to another request"
+        }
+    }
+
     /** Records that an event or the response head arrived, or that this host was paused. */
     fun onProgress(now: Instant) {
         lastProgressAt = maxOf(lastProgressAt, now)
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -102,8 +102,8 @@
     /** Maximum number of responses to other requests that one attempt skips. */
     public val maxSkippedResponses: Int = 4,
     /**
-     * Size of the part of an incomplete event or response whose arrival counts as progress. It tells
-     * a slow target from one that only keeps its connection busy.
+     * Size of the part of an incomplete event or response whose arrival counts as progress. It
+     * tells a slow target from one that only keeps its connection busy.
      */
     public val minProgressBytes: Int = 1_024,
 )
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -61,18 +61,14 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
-        attempt.isForeign = head.requestId != null && head.requestId != call.id
-        if (attempt.isForeign) {
-            attempt.isConnectionTainted = true
-            if (++attempt.skippedResponses > options.maxSkippedResponses) {
-                rejectResponse(attempt, "too many responses to other requests", now)
-            }
+        if (head.requestId != null && head.requestId != call.id) {
+            attempt.skipResponse(options)?.let { rejectResponse(attempt, it, now) }
             return@ifCurrent
         }
         attempt.onProgress(now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.head = head
-        attempt.isStreaming = kind.isStream && head.isSuccess && head.isValid()
+        attempt.isStreaming = kind.isStream && head.isSuccess && head.isValidFor(call)
     }
 
     override fun onBody(
@@ -83,7 +79,8 @@
         attempt.lastReceivedAt = now
         val head = attempt.head
         when {
-            attempt.isForeign -> skip(attempt, bytes, now)
+            attempt.isForeign ->
+                attempt.skipBytes(bytes.size, options)?.let { rejectResponse(attempt, it, now) }
             head == null -> Unit
             attempt.isStreaming -> forwardEvents(attempt, head, bytes, now)
             attempt.isRelaying -> emitter.forward(head, bytes)
@@ -105,7 +102,7 @@
             ExchangeEffect.Release(attempt.number, reusable && !attempt.isConnectionTainted),
         )
         if (attempt.isStreaming || attempt.isRelaying) {
-            endAttempt(attempt, outcomeOf(head), "status ${head.status}", now)
+            endAttempt(attempt, head.outcome(), "status ${head.status}", now)
             emitter.finishStream(head, history.count, now)
         } else {
             completeResponse(attempt, head, now)
@@ -119,7 +116,7 @@
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         if (failure == AttemptFailure.NOT_CONNECTED) history.onNotConnected()
         if (failure == AttemptFailure.MALFORMED) {
-            rejectResponse(attempt, "not a valid HTTP response", now)
+            rejectResponse(attempt, "not HTTP", now)
         } else {
             failAttempt(attempt, failure.outcome, failure.name.lowercase(), now)
         }
@@ -220,26 +217,20 @@
         }
     }
 
-    private fun skip(attempt: Attempt, bytes: ByteArray, now: Instant) {
-        attempt.skippedBytes += bytes.size
-        if (attempt.skippedBytes <= options.maxSkippedBytes) return
-        rejectResponse(attempt, "a response to another request exceeds the limit", now)
-    }
-
     private fun buffer(attempt: Attempt, head: ResponseHead, bytes: ByteArray, now: Instant) {
         attempt.buffer.write(bytes)
         attempt.onPartialProgress(attempt.buffer.size(), options, now)
         if (attempt.buffer.size() <= options.bufferBytes) return
-        if (head.isValid()) {
+        if (head.isValidFor(call)) {
             relay(attempt, head)
         } else {
-            rejectResponse(attempt, "a response without signature or id exceeds the limit", now)
+            rejectResponse(attempt, "a response without signature or id", now)
         }
     }
 
-    /** Closes the connection of a target whose bytes are not or no longer a response. */
-    private fun rejectResponse(attempt: Attempt, detail: String, now: Instant): Unit =
-        abandonAttempt(attempt, AttemptOutcome.MALFORMED, detail, now)
+    /** Closes the connection of a target whose bytes are no response or exceed a [limit]. */
+    private fun rejectResponse(attempt: Attempt, limit: String, now: Instant): Unit =
+        abandonAttempt(attempt, AttemptOutcome.MALFORMED, "malformed or too long: $limit", now)
 
     private fun abandonAttempt(
         attempt: Attempt,
@@ -261,7 +252,7 @@
                 val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
                 failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
             }
-            !head.isValid() -> failAttempt(
+            !head.isValidFor(call) -> failAttempt(
                 attempt,
                 AttemptOutcome.FAILED,
                 "invalid response signature or id",
@@ -272,7 +263,7 @@
                 failAttempt(attempt, AttemptOutcome.FAILED, "status ${head.status}", now)
             }
             else -> {
-                endAttempt(attempt, outcomeOf(head), "status ${head.status}", now)
+                endAttempt(attempt, head.outcome(), "status ${head.status}", now)
                 emitter.respond(response, history.count, now)
             }
         }
@@ -286,8 +277,20 @@
         now: Instant,
     ) {
         endFailedAttempt(attempt, outcome, detail, now)
-        if (attempt.isRelaying) return emitter.abort("truncated response: $detail", history.count, now)
-        if (!history.mayRetry(outcome, now)) return finish(exhausted(kind, history.delivered, outcome, detail), now)
+        if (attempt.isRelaying) {
+            return emitter.abort(
+                "truncated response: $detail",
+                history.count,
+                now,
+            )
+        }
+        if (!history.mayRetry(
+                outcome,
+                now,
+            )
+        ) {
+            return finish(exhausted(kind, history.delivered, outcome, detail), now)
+        }
         requestPlacement(now)
     }
 
@@ -336,7 +339,7 @@
         if (emitter.eventCount > before) onEvent(attempt, now)
         attempt.onPartialProgress(emitter.pendingBytes, options, now)
         if (emitter.pendingBytes > options.maxEventBytes) {
-            rejectResponse(attempt, "an event exceeds ${options.maxEventBytes} bytes", now)
+            rejectResponse(attempt, "an event", now)
         }
     }
 
@@ -366,11 +369,6 @@
         listener.onAttemptEnded(call, attempt.number, attempt.target, outcome, detail, now)
     }
 
-    private fun outcomeOf(head: ResponseHead): AttemptOutcome =
-        if (head.status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
-
-    private fun ResponseHead.isValid(): Boolean = sealed && requestId == call.id
-
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (isEnded) return persistentListOf()
         block()
@@ -386,7 +384,6 @@
     }
 
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
         const val MISDIRECTED = 421
 
         /** A longer timer delay is a pause of this host and says nothing about the target. */
@@ -395,3 +392,11 @@
         val SHUTDOWN_RETRY_AFTER = 20.milliseconds
     }
 }
+
+private const val FIRST_SERVER_ERROR = 500
+
+private fun ResponseHead.outcome(): AttemptOutcome =
+    if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
+
+/** Returns whether the response is signed and belongs to [call]. */
+private fun ResponseHead.isValidFor(call: Call): Boolean = sealed && requestId == call.id
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -156,7 +156,7 @@
     /** The target responded with an error or not in time. */
     FAILED(mayHaveRun = true),
 
-    /** The target sent bytes that are no response to the request, or more than a response may be. */
+    /** The target sent bytes that are no response to the request, or too many of them. */
     MALFORMED(mayHaveRun = true),
 
     /** The connection was closed before the response was complete. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -155,7 +155,9 @@
     private suspend fun watch(): Unit = coroutineScope {
         val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
         kinds.forEach { kind ->
-            launchSupervised("watch of $kind") { KindWatcher(kind, store, viewUpdater, clock).run() }
+            launchSupervised("watch of $kind") {
+                KindWatcher(kind, store, viewUpdater, clock).run()
+            }
         }
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -167,7 +167,11 @@
         val at = now()
         if (limiter.tryAcquire(get("event").orEmpty(), at)) log.info(this)
         val dropped = limiter.takeSuppressed(at)
-        if (dropped.isNotEmpty()) log.warn(stateEvent("lines_suppressed").with("counts", "$dropped"))
+        if (dropped.isNotEmpty()) {
+            log.warn(
+                stateEvent("lines_suppressed").with("counts", "$dropped"),
+            )
+        }
     }
 
     private fun StringMapMessage.warn(): Unit = log.warn(this)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -98,7 +98,9 @@
     }
 
     private fun distrust(address: String) {
-        if (distrustedUntil.put(address, System.nanoTime() + DISTRUST_TIME.inWholeNanoseconds) == null) {
+        if (distrustedUntil.put(address, System.nanoTime() + DISTRUST_TIME.inWholeNanoseconds) ==
+            null
+        ) {
             log.info("target {} sent bytes after a response", address)
         }
     }
@@ -174,7 +176,7 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
 
-        /** A target in such trouble repeats it for seconds; new connections cost little meanwhile. */
+        /** A target in such trouble repeats it for seconds; new connections cost little. */
         val DISTRUST_TIME = 5.seconds
         val log = LogManager.getLogger(Connections::class.java)
     }
