--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/BurdockCtl.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/BurdockCtl.kt
@@ -1,8 +1,8 @@
 /** The root command of the operator CLI. */
 package burdockspread.ctl
 
-import burdockspread.settings.DaemonCommand
 import burdockspread.settings.ExitCode
+import burdockspread.settings.PROGRAM_VERSION
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
@@ -18,7 +18,7 @@
 public class BurdockCtl private constructor(private val environment: CtlEnvironment) :
     CliktCommand("burdockctl") {
     init {
-        versionOption(DaemonCommand.VERSION)
+        versionOption(PROGRAM_VERSION)
     }
 
     private val config by option(envvar = "BURDOCKCTL_CONFIG", help = "JSON settings file").path()
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/DaemonCommand.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/DaemonCommand.kt
@@ -1,10 +1,10 @@
 /** Command line shared by the daemons. */
 package burdockspread.settings
 
-import burdockspread.json.JsonProblem
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.optional
 import com.github.ajalt.clikt.parameters.options.option
@@ -13,10 +13,11 @@
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.path
 import com.google.protobuf.Message
-import org.apache.logging.log4j.LogManager
+import java.nio.file.Path
+import kotlin.system.exitProcess
 
-/** Reloads a daemon's settings; returns null when they are invalid. */
-public typealias Reload<M> = () -> M?
+/** Version of all the programs. */
+public const val PROGRAM_VERSION: String = "0.1.0"
 
 /**
  * Command line of a daemon. `--config FILE` runs it; `--config FILE check-config` only validates
@@ -24,14 +25,14 @@
  *
  * @param M protobuf message type of the settings.
  */
-public class DaemonCommand<M : Message>(
+internal class DaemonCommand<M : Message>(
     name: String,
     private val description: String,
     private val loader: SettingsLoader<M>,
-    private val daemon: (M, Reload<M>) -> ExitCode,
+    private val program: (M, Reload<M>) -> ExitCode,
 ) : CliktCommand(name) {
     init {
-        versionOption(VERSION)
+        versionOption(PROGRAM_VERSION)
     }
 
     private val config by option(help = "settings file in JSON").path().required()
@@ -40,40 +41,34 @@
     override fun help(context: Context): String = description
 
     override fun run() {
-        val exit = loader.load(config).fold(::reportProblems) {
-            if (action ==
-                CHECK_ACTION
-            ) {
-                reportValid()
-            } else {
-                daemon(it, ::reload)
-            }
-        }
+        val daemon = Daemon(config, loader) { echo(it, err = true) }
+        val exit = if (action == CHECK_ACTION) checkConfig(daemon) else daemon.run(program)
         throw ProgramResult(exit.status)
     }
 
-    private fun reportProblems(problems: List<JsonProblem>): ExitCode {
-        problems.forEach { echo("$config: $it", err = true) }
-        return ExitCode.SETTINGS_INVALID
-    }
-
-    /** Reloads the settings. Invalid settings are logged and the current ones stay in use. */
-    private fun reload(): M? = loader.load(config).fold(
-        { problems ->
-            problems.forEach { LogManager.getLogger("main").warn("{}: {}", config, it) }
-            null
-        },
-        { it },
-    )
+    private fun checkConfig(daemon: Daemon<M>): ExitCode =
+        daemon.run { _, _ -> ExitCode.OK.also { echo("$config: valid") } }
 
-    private fun reportValid(): ExitCode {
-        echo("$config: valid")
-        return ExitCode.OK
+    private companion object {
+        private const val CHECK_ACTION = "check-config"
     }
+}
 
-    public companion object {
-        /** Version of all the programs. */
-        public const val VERSION: String = "0.1.0"
-        private const val CHECK_ACTION = "check-config"
+/**
+ * Entry point of a daemon: runs [program] with the settings that [args] name.
+ *
+ * The usual arguments, `--config FILE`, are recognized directly, which saves loading the command
+ * line at each start.
+ */
+public fun <M : Message> daemonMain(
+    args: Array<String>,
+    name: String,
+    description: String,
+    loader: SettingsLoader<M>,
+    program: (M, Reload<M>) -> ExitCode,
+) {
+    if (args.size == 2 && args[0] == "--config") {
+        exitProcess(Daemon(Path.of(args[1]), loader, System.err::println).run(program).status)
     }
+    DaemonCommand(name, description, loader, program).main(args)
 }
