Send a prompt that comes back to the target that has read it

Change: reports between the hosts of a failure domain name the prompts sent within 5 s and their targets (25 bytes each, at most 40); a target that has read the prompt, in the same incarnation and within 20 s, has the advantage of the load that reading costs. Ruled out: rendezvous hashing of prompts alone, which gives up the balance of load for every request to find the few that come back.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -16,7 +16,7 @@
  * @property localId identifies the request within the process.
  * @property id the caller's own id of this attempt, forwarded unchanged.
  * @property deadline the earlier of the caller's deadline and the route's timeout.
- * @property prompt size of the prompt, or null for calls to plain services.
+ * @property prompt the prompt, or null for calls to plain services.
  * @property resumeAfterEventId id of the last event that the caller already has, or null.
  */
 public data class Call(
@@ -28,12 +28,20 @@
     public val priority: Int,
     public val receivedAt: Instant,
     public val deadline: Instant,
-    public val prompt: PromptSize? = null,
+    public val prompt: Prompt? = null,
     public val resumeAfterEventId: String? = null,
 )
 
-/** Number of prompt tokens and the maximum number of generated tokens. */
-public data class PromptSize(public val promptTokens: Int, public val outputTokens: Int)
+/**
+ * Number of prompt tokens and the maximum number of generated tokens.
+ *
+ * @property id identifies the prompt, so that equal prompts can share a cache; null if unknown.
+ */
+public data class Prompt(
+    public val promptTokens: Int,
+    public val outputTokens: Int,
+    public val id: Long? = null,
+)
 
 /** A header line; the name keeps its original case. */
 public data class Header(public val name: String, public val value: String)
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -161,6 +161,7 @@
             localId = call.localId,
             promptTokens = prompt?.promptTokens ?: 0,
             outputTokens = prompt?.outputTokens ?: 0,
+            prompt = prompt?.id,
             priority = call.priority,
             waitUntil = minOf(call.deadline, now + maxOf(wait, MIN_QUEUE_WAIT)),
             isResume = !first,
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
@@ -27,7 +27,7 @@
     public val id: String?,
     public val key: String?,
     public val callerTimeout: Duration?,
-    public val prompt: PromptSize?,
+    public val prompt: Prompt?,
     public val resumeAfterEventId: String?,
 )
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -72,10 +72,12 @@
 
     public companion object {
         /** Returns a factory for the policy described in `docs/design/platform.md`. */
-        public fun factory(options: LoadOptions = LoadOptions()): Factory =
-            Factory { domain, seed, lossListener ->
-                RealLoadPolicy(domain, seed, lossListener, options)
-            }
+        public fun factory(
+            options: LoadOptions = LoadOptions(),
+            prompts: PromptLocations = PromptLocations(),
+        ): Factory = Factory { domain, seed, lossListener ->
+            RealLoadPolicy(domain, seed, lossListener, options, prompts)
+        }
     }
 }
 
@@ -89,6 +91,7 @@
  *
  * @property localId identifies the request; unique within the process.
  * @property promptTokens number of prompt tokens, 0 for calls to plain services.
+ * @property prompt identifies the prompt among all hosts, or null if it is unknown.
  * @property outputTokens expected number of generated tokens, 0 for calls to plain services.
  * @property waitUntil latest instant at which it is worth starting.
  * @property isResume whether it resumes a response that was partly delivered.
@@ -99,6 +102,7 @@
 public data class PlacementRequest(
     public val localId: Long,
     public val promptTokens: Int = 0,
+    public val prompt: Long? = null,
     public val outputTokens: Int = 0,
     public val priority: Int = 0,
     public val waitUntil: Instant,
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -24,6 +24,7 @@
     seed: Long,
     private val lossListener: TargetLossListener,
     private val options: LoadOptions,
+    private val prompts: PromptLocations,
 ) : LoadPolicy,
     InFlightTracker {
     private val random = Random(seed)
@@ -42,7 +43,7 @@
         val ids = targets.map { it.entry.id }.toSet()
         this.targets.keys.retainAll(ids)
         targets.forEach { listed ->
-            this.targets.getOrPut(listed.entry.id) { TargetLoad(listed, now) }.onListed(listed)
+            this.targets.getOrPut(listed.entry.id) { TargetLoad(listed, now) }.onListed(listed, now)
         }
         pool = this.targets.values.toList()
     }
@@ -126,7 +127,9 @@
         val replicaTarget = if (mayReplicate) selectReplicaTarget(request, chosen, now) else null
         val totalTokens = request.promptTokens + request.outputTokens
         placements[request.localId] = chosen.entry.id
-        chosen.add(request.localId, RequestLoad(request.promptTokens, totalTokens, now))
+        val unread = if (chosen === locate(request, now)) 0 else request.promptTokens
+        chosen.add(request.localId, RequestLoad(unread, totalTokens, now))
+        request.prompt?.let { prompts.onSent(it, chosen.entry.id, now) }
         if (replicaTarget != null) {
             replicas[request.localId] = replicaTarget.entry.id
             replicaTarget.add(
@@ -140,9 +143,10 @@
     private fun choose(request: PlacementRequest, now: Instant): TargetLoad? {
         val preferred = request.preferredTarget?.let { targets[it] }
         if (preferred != null && !preferred.isEjected(now)) return preferred
-        val sample = sample()
-        return chooseFrom(sample, request, now)
-            ?: if (sample.size < pool.size) chooseFrom(pool, request, now) else null
+        val reader = locate(request, now)
+        val sample = sample().let { if (reader == null || reader in it) it else it + reader }
+        return chooseFrom(sample, request, reader, now)
+            ?: if (sample.size < pool.size) chooseFrom(pool, request, reader, now) else null
     }
 
     /**
@@ -155,13 +159,22 @@
     private fun chooseFrom(
         open: List<TargetLoad>,
         request: PlacementRequest,
+        reader: TargetLoad?,
         now: Instant,
     ): TargetLoad? {
         val eligible =
             open.filter { it.entry.id !in request.avoidedTargets && hasCapacity(it, request, now) }
         val healthy = eligible.filterNot { it.isEjected(now) || it.isUnconfirmed }
         val fallback = { eligible.filterNot { it.isEjected(now) }.ifEmpty { lastResort(request) } }
-        return pickBest(healthy.ifEmpty(fallback), now)
+        return pickBest(healthy.ifEmpty(fallback), now) { target ->
+            if (target === reader) prefillLoad(request.promptTokens) else 0.0
+        }
+    }
+
+    /** Returns the target that has read the request's prompt, if it still caches it. */
+    private fun locate(request: PlacementRequest, now: Instant): TargetLoad? {
+        val location = request.prompt?.let { prompts.find(it, now) } ?: return null
+        return targets[location.target]?.takeIf { location.at >= it.knownSince }
     }
 
     /** Targets that already failed this request or are ejected, if the pool has no others. */
@@ -190,11 +203,15 @@
     /**
      * Selects a random target among those whose score is close to the best. Hosts with the same
      * view must not all select the same target, and a target without recent reports must not look
-     * idle to all of them.
+     * idle to all of them. [advantage] is the load that a target need not bear for the request.
      */
-    private fun pickBest(open: List<TargetLoad>, now: Instant): TargetLoad? {
+    private fun pickBest(
+        open: List<TargetLoad>,
+        now: Instant,
+        advantage: (TargetLoad) -> Double = { 0.0 },
+    ): TargetLoad? {
         val baseline = baseline(open, now)
-        val scored = open.map { Scored(it, score(it, baseline, now)) }
+        val scored = open.map { Scored(it, score(it, baseline, now) - advantage(it)) }
         val best = scored.minOfOrNull { it.score } ?: return null
         return scored.filter { it.score <= best + SCORE_TOLERANCE }.random(random).target
     }
@@ -234,7 +251,7 @@
         val egress = if (target.entry.failureDomain == localDomain) 0.0 else options.egressPenalty
         val load =
             target.localRequests + target.remoteLoad(now, decayTime(), baseline.meanRemoteLoad)
-        val prefillLoad = target.pendingPrefillTokens / PREFILL_TOKENS_PER_REQUEST
+        val prefillLoad = prefillLoad(target.pendingPrefillTokens)
         val excessFailureRate = (target.failureRate - baseline.failureRate).coerceAtLeast(0.0)
         val errorPenalty = excessFailureRate * options.failurePenalty
         val domainPenalty = if (isDomainSuspect(target, now)) options.suspectDomainPenalty else 0.0
@@ -242,6 +259,8 @@
             domainPenalty
     }
 
+    private fun prefillLoad(tokens: Int): Double = tokens / PREFILL_TOKENS_PER_REQUEST
+
     /** Targets of a failure domain often fail together, because they share racks or links. */
     private fun isDomainSuspect(target: TargetLoad, now: Instant): Boolean {
         val since = domainLostAt[target.entry.failureDomain] ?: return false
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -19,6 +19,10 @@
         private set
     var isUnconfirmed: Boolean = listed.isUnconfirmed
         private set
+
+    /** When this incarnation became known; what an earlier one had cached is gone. */
+    var knownSince: Instant = now
+        private set
     private val requests = LinkedHashMap<Long, RequestLoad>()
     private var replicas = 0
     private var remoteLoad = 0.0
@@ -33,12 +37,13 @@
         private set
 
     /** Applies a changed entry; a new incarnation starts with a clean record. */
-    fun onListed(listed: ListedTarget) {
+    fun onListed(listed: ListedTarget, now: Instant) {
         val isRestarted =
             !entry.isSameIncarnation(listed.entry) || entry.address != listed.entry.address
         entry = listed.entry
         isUnconfirmed = listed.isUnconfirmed
         if (!isRestarted) return
+        knownSince = now
         failureEwma = 0.0
         remoteLoad = 0.0
         ejectedUntil = Instant.DISTANT_PAST
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -22,6 +22,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 class LoadPolicyTest {
+    private val prompts = PromptLocations()
     private val now = Fixture.START
     private val losses = ArrayList<TargetId>()
 
@@ -250,6 +251,41 @@
         assertEquals(ErrorCode.NO_TARGET, refused.refusal.code)
     }
 
+    @Test
+    fun `a request whose prompt a peer has sent goes to the same target`() {
+        val names = List(8) { "t$it" to "north" }.toTypedArray()
+        repeat(8) { i ->
+            prompts.onPeerSent(PROMPT, TargetId("t$i"), now)
+            val policy = enginePolicy(*names, seed = i.toLong())
+            assertEquals("t$i", placedAt(policy, engineCall(1).copy(prompt = PROMPT)))
+        }
+    }
+
+    @Test
+    fun `a target that has read the prompt is not overloaded for it`() {
+        prompts.onPeerSent(PROMPT, TargetId("one"), now)
+        val policy = enginePolicy("one" to "north", "two" to "north")
+        policy.onPeerLoads(mapOf(TargetId("one") to 7), now + 1.milliseconds)
+        assertEquals("two", placedAt(policy, engineCall(1).copy(prompt = PROMPT)))
+    }
+
+    @Test
+    fun `a prompt is not looked for where its target has restarted`() {
+        val policy = enginePolicy("one" to "north", "two" to "north")
+        prompts.onPeerSent(PROMPT, TargetId("one"), now)
+        policy.onPeerLoads(mapOf(TargetId("one") to 2), now + 1.milliseconds)
+        val targets = listOf(
+            Fixture.target("one", startedAtMillis = 2),
+            Fixture.target("two"),
+        ).map { ListedTarget(it, false) }.toImmutableList()
+        policy.onTargets(Fixture.engineService(), targets, now + 1.seconds)
+        policy.onPeerLoads(mapOf(TargetId("one") to 2), now + 1.seconds)
+        assertEquals("two", placedAt(policy, engineCall(1).copy(prompt = PROMPT)))
+    }
+
+    private fun placedAt(policy: LoadPolicy, request: PlacementRequest) =
+        assertIs<PlacementDecision.Placed>(policy.submit(request, now)).target.id.value
+
     private fun engineCall(localId: Long) = PlacementRequest(
         localId,
         promptTokens = 5_000,
@@ -274,7 +310,11 @@
         policy(Fixture.plainService(), names.map { Fixture.target(it, Fixture.DESK) })
 
     private fun policy(service: Service, targets: List<TargetEntry>, seed: Long = 7): LoadPolicy =
-        LoadPolicy.factory().create(FailureDomainId("north"), seed) { losses += it.id }.apply {
+        LoadPolicy.factory(prompts = prompts).create(FailureDomainId("north"), seed) { losses += it.id }.apply {
             onTargets(service, targets.map { ListedTarget(it, false) }.toImmutableList(), now)
         }
+
+    private companion object {
+        const val PROMPT = 0x5c1e07a2L
+    }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -6,6 +6,7 @@
 import burdockspread.forward.http.Connections
 import burdockspread.forward.http.Transport
 import burdockspread.forward.load.LoadPolicy
+import burdockspread.forward.load.PromptLocations
 import burdockspread.forward.load.TargetLossListener
 import burdockspread.forward.news.HostViewUpdater
 import burdockspread.forward.news.PeerNews
@@ -60,16 +61,17 @@
         clock,
         Random(settings.host.name.hashCode()),
     )
+    private val prompts = PromptLocations()
     private val pools = ServicePools(
         FailureDomainId(settings.host.failureDomain),
         settings.host.name.hashCode().toLong(),
         settings.retries,
         { peers.hostCount },
-        LoadPolicy.factory(),
+        LoadPolicy.factory(prompts = prompts),
         TargetLossListener(::broadcastLoss),
     )
     private val loads = settings.loadAddress.ifEmpty { null }?.let {
-        LoadExchange(HostId(settings.host.name), it, transport, pools, clock::now)
+        LoadExchange(HostId(settings.host.name), it, transport, pools, prompts, clock::now)
     }
     private val server =
         RequestServer(deployment, transport, clock, pools, { viewUpdater.view }, metrics, loads)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -3,9 +3,11 @@
 
 import burdockspread.forward.http.Transport
 import burdockspread.forward.load.PeerLoads
+import burdockspread.forward.load.PromptLocations
 import burdockspread.id.HostId
 import burdockspread.id.TargetId
 import burdockspread.wire.forward.HostLoads
+import burdockspread.wire.forward.PromptAtTarget
 import burdockspread.wire.forward.TargetRuns
 import com.google.protobuf.InvalidProtocolBufferException
 import io.netty.buffer.ByteBufUtil
@@ -31,6 +33,7 @@
     private val address: String,
     private val transport: Transport,
     private val pools: ServicePools,
+    private val prompts: PromptLocations,
     private val now: () -> Instant,
 ) {
     private val loads = PeerLoads()
@@ -65,7 +68,7 @@
         val open = channel ?: return
         val reported = localLoads()
         if (receivers.isEmpty() || !loads.isDue(reported, at)) return
-        val bytes = encode(reported)
+        val bytes = encode(reported, at)
         receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
         open.flush()
         loads.onSent(reported, receivers.size, bytes.size, at)
@@ -75,11 +78,16 @@
         pools.all.flatMap { it.policy.localLoads().entries }
             .associate { it.key to it.value }.toImmutableMap()
 
-    private fun encode(reported: Map<TargetId, Int>): ByteArray {
+    private fun encode(reported: Map<TargetId, Int>, at: Instant): ByteArray {
         val message = HostLoads.newBuilder().setHost(self.value).setSequence(++sequence)
         reported.forEach { (target, runs) ->
             message.addTargets(TargetRuns.newBuilder().setTarget(target.value).setRuns(runs))
         }
+        prompts.recentlySent(at).entries.take(MAX_REPORTED_PROMPTS).forEach { (prompt, target) ->
+            message.addPrompts(
+                PromptAtTarget.newBuilder().setPrompt(prompt).setTarget(target.value),
+            )
+        }
         return message.build().toByteArray()
     }
 
@@ -94,7 +102,11 @@
                 }
             val runs = message.targetsList.filter { it.runs in VALID_RUNS }
                 .associate { TargetId(it.target) to it.runs }
-            loads.onReport(HostId(message.host), message.sequence, runs, now())
+            val at = now()
+            loads.onReport(HostId(message.host), message.sequence, runs, at)
+            message.promptsList.take(MAX_REPORTED_PROMPTS).forEach {
+                prompts.onPeerSent(it.prompt, TargetId(it.target), at)
+            }
         }
 
         @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
@@ -105,6 +117,9 @@
     }
 
     private companion object {
+        /** Prompts in one report, about 25 bytes each. */
+        const val MAX_REPORTED_PROMPTS = 40
+
         /** Requests of one host at one target; other numbers are malformed. */
         val VALID_RUNS = 0..100_000
         val log = LogManager.getLogger(LoadExchange::class.java)
