--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -167,7 +167,7 @@
         val healthy = eligible.filterNot { it.isEjected(now) || it.isUnconfirmed }
         val fallback = { eligible.filterNot { it.isEjected(now) }.ifEmpty { lastResort(request) } }
         return pickBest(healthy.ifEmpty(fallback), now) { target ->
-            if (target === reader) prefillLoad(request.promptTokens) else 0.0
+            if (target === reader) request.promptTokens / PREFILL_TOKENS_PER_REQUEST else 0.0
         }
     }
 
@@ -251,7 +251,7 @@
         val egress = if (target.entry.failureDomain == localDomain) 0.0 else options.egressPenalty
         val load =
             target.localRequests + target.remoteLoad(now, decayTime(), baseline.meanRemoteLoad)
-        val prefillLoad = prefillLoad(target.pendingPrefillTokens)
+        val prefillLoad = target.pendingPrefillTokens / PREFILL_TOKENS_PER_REQUEST
         val excessFailureRate = (target.failureRate - baseline.failureRate).coerceAtLeast(0.0)
         val errorPenalty = excessFailureRate * options.failurePenalty
         val domainPenalty = if (isDomainSuspect(target, now)) options.suspectDomainPenalty else 0.0
@@ -259,8 +259,6 @@
             domainPenalty
     }
 
-    private fun prefillLoad(tokens: Int): Double = tokens / PREFILL_TOKENS_PER_REQUEST
-
     /** Targets of a failure domain often fail together, because they share racks or links. */
     private fun isDomainSuspect(target: TargetLoad, now: Instant): Boolean {
         val since = domainLostAt[target.entry.failureDomain] ?: return false
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SseFramerProperties.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SseFramerProperties.kt
@@ -59,8 +59,10 @@
     private fun event(id: Int) = "id: $id\ndata: x\n\n"
 
     @Provide
-    fun streams(): Arbitrary<String> =
-        parts("id: 1\n", "id: 2\r\n", "id:7\n", "id: x\n", "data: a\n", ": c\n", "\n", "\r\n", "i", "\u00e9")
+    fun streams(): Arbitrary<String> {
+        val ids = arrayOf("id: 1\n", "id: 2\r\n", "id:7\n", "id: x\n")
+        return parts(*ids, "data: a\n", ": c\n", "\n", "\r\n", "i", "\u00e9")
+    }
 
     @Provide
     fun idless(): Arbitrary<String> = parts("data: a\n", ": c\n", "\n", "\r\n", "\r", "x", "\u00e9")
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -310,7 +310,10 @@
         policy(Fixture.plainService(), names.map { Fixture.target(it, Fixture.DESK) })
 
     private fun policy(service: Service, targets: List<TargetEntry>, seed: Long = 7): LoadPolicy =
-        LoadPolicy.factory(prompts = prompts).create(FailureDomainId("north"), seed) { losses += it.id }.apply {
+        LoadPolicy.factory(prompts = prompts).create(FailureDomainId("north"), seed) {
+            losses +=
+                it.id
+        }.apply {
             onTargets(service, targets.map { ListedTarget(it, false) }.toImmutableList(), now)
         }
 
