--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -279,20 +279,10 @@
     ) {
         endFailedAttempt(attempt, outcome, detail, now)
         if (attempt.isRelaying) {
-            return emitter.abort(
-                "truncated response: $detail",
-                history.count,
-                now,
-            )
-        }
-        if (!history.mayRetry(
-                outcome,
-                now,
-            )
-        ) {
-            return finish(exhausted(kind, history.delivered, outcome, detail), now)
+            return emitter.abort("truncated response: $detail", history.count, now)
         }
-        requestPlacement(now)
+        if (history.mayRetry(outcome, now)) return requestPlacement(now)
+        finish(exhausted(kind, history.delivered, outcome, detail), now)
     }
 
     private fun endFailedAttempt(
