--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -98,11 +98,9 @@
     }
 
     private fun distrust(address: String) {
-        if (distrustedUntil.put(address, System.nanoTime() + DISTRUST_TIME.inWholeNanoseconds) ==
-            null
-        ) {
-            log.info("target {} sent bytes after a response", address)
-        }
+        val until = System.nanoTime() + DISTRUST_TIME.inWholeNanoseconds
+        val before = distrustedUntil.put(address, until)
+        if (before == null) log.info("target {} sent bytes after a response", address)
     }
 
     private fun returnToPool(address: String, channel: Channel, receiver: Receiver) {
