--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SupervisionTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SupervisionTest.kt
@@ -39,7 +39,8 @@
 
     @Test
     fun `a scheduled task that failed runs again`() {
-        val channel = EmbeddedChannel()
+        // Otherwise its clock goes on with the real one between the steps.
+        val channel = EmbeddedChannel().apply { freezeTime() }
         var runs = 0
         channel.eventLoop().scheduleSupervised("test task", 50.milliseconds) {
             runs++
