--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -54,13 +54,8 @@
     /** Skips a part of such a response. */
     fun skipBytes(count: Int, options: ExchangeOptions): String? {
         skippedBytes += count
-        return if (skippedBytes <=
-            options.maxSkippedBytes
-        ) {
-            null
-        } else {
-            "a response to another request"
-        }
+        val isExceeded = skippedBytes > options.maxSkippedBytes
+        return if (isExceeded) "a response to another request" else null
     }
 
     /** Records that an event or the response head arrived, or that this host was paused. */
