Log every way in which a host loses a target, with the age of its view

Removals by a list, a peer's reply, a deadline or a new target at the address were not logged, nor that a target is unconfirmed, so the hypotheses of the incident could not be told apart by a host's log. Now target_unconfirmed and target_removed carry cause, source, store version and the age of the view; a counter of target changes and a gauge of the view's age. No decision changes.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -22,7 +22,7 @@
  */
 public class TargetDirectory(
     private val reconnectGrace: Duration = RECONNECT_GRACE,
-    private val onChanged: (TargetId) -> Unit = {},
+    private val listener: DirectoryListener = DirectoryListener { _, _ -> },
 ) {
     private var records = persistentMapOf<TargetId, TargetRecord>()
 
@@ -55,7 +55,10 @@
             val before = records[change.id]
             val entry = change.entry
             when {
-                entry == null -> if (before != null && before.asOf <= atVersion) remove(change.id)
+                entry == null ->
+                    if (before != null && before.asOf <= atVersion) {
+                        remove(change.id, DirectoryChange.REMOVED)
+                    }
                 change.version > version -> merge(entry, change.version)
                 before != null && before.asOf <= change.version -> merge(entry, change.version)
             }
@@ -71,7 +74,7 @@
         if (atVersion <= version) return
         version = atVersion
         val mayHaveExpired = reconnectedAt != null && now - reconnectedAt < reconnectGrace
-        if (mayHaveExpired) markUnconfirmed(id, now) else remove(id)
+        if (mayHaveExpired) markUnconfirmed(id, now) else remove(id, DirectoryChange.REMOVED)
     }
 
     /** Advances the version when the store reports that nothing else has changed. */
@@ -84,7 +87,7 @@
         val gone = records.values.filter {
             it.unconfirmedSince != null && now - it.unconfirmedSince >= reconnectGrace
         }
-        gone.forEach { remove(it.entry.id) }
+        gone.forEach { remove(it.entry.id, DirectoryChange.EXPIRED) }
         return gone.isNotEmpty()
     }
 
@@ -106,10 +109,10 @@
         )
     }
 
-    private fun remove(id: TargetId) {
+    private fun remove(id: TargetId, change: DirectoryChange) {
         if (id !in records) return
         records = records.remove(id)
-        onChanged(id)
+        listener.onChange(id, change)
     }
 
     private fun merge(entry: TargetEntry, atVersion: Long) {
@@ -118,20 +121,22 @@
         records.values.map { it.entry }
             .filter { it.address == entry.address && it.id != entry.id }
             .filter { it.startedAtMillis < entry.startedAtMillis }
-            .forEach { remove(it.id) }
+            .forEach { remove(it.id, DirectoryChange.REPLACED) }
         val isDraining =
             entry.isDraining || (before?.isSameIncarnation(entry) == true && before.isDraining)
         val known = records[entry.id]
         val next = TargetRecord(entry.copy(isDraining = isDraining), atVersion, null)
         records = records.put(entry.id, next)
-        if (known?.entry != next.entry || known.unconfirmedSince != null) onChanged(entry.id)
+        if (known?.entry != next.entry || known.unconfirmedSince != null) {
+            listener.onChange(entry.id, DirectoryChange.LISTED)
+        }
     }
 
     private fun markUnconfirmed(id: TargetId, now: Instant) {
         val before = records[id] ?: return
         if (before.unconfirmedSince != null) return
         records = records.put(id, before.copy(unconfirmedSince = now))
-        onChanged(id)
+        listener.onChange(id, DirectoryChange.UNCONFIRMED)
     }
 
     /** An entry as of a store version; unconfirmed since [unconfirmedSince], if not null. */
@@ -147,6 +152,29 @@
     }
 }
 
+/** Receives the changes of a [TargetDirectory]. */
+public fun interface DirectoryListener {
+    public fun onChange(id: TargetId, change: DirectoryChange)
+}
+
+/** What happened to a target in a [TargetDirectory]. */
+public enum class DirectoryChange {
+    /** The entry is new, has changed, or is confirmed again. */
+    LISTED,
+
+    /** The entry is missing from the store, perhaps only because of an outage. */
+    UNCONFIRMED,
+
+    /** The store or a peer reported the removal. */
+    REMOVED,
+
+    /** The entry stayed unconfirmed for the whole grace period. */
+    EXPIRED,
+
+    /** Another target uses the address. */
+    REPLACED,
+}
+
 /**
  * Targets that may receive new requests.
  *
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
@@ -90,7 +90,7 @@
     @Test
     fun `each change is reported once`() {
         val reported = ArrayList<String>()
-        val watched = TargetDirectory { reported += it.value }
+        val watched = TargetDirectory { id, _ -> reported += id.value }
         watched.onListing(listOf(Fixture.target("a")), 5, now)
         watched.onListing(listOf(Fixture.target("a")), 6, now)
         watched.onEntry(Fixture.target("a", isDraining = true), 7)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
@@ -68,6 +68,7 @@
             assignment.onFollowed(relay.id)
             stopWatching(relay)
         } else {
+            log.info("relay {} does not keep this host up to date", relay.id)
             assignment.onFailed(relay.id, clock.now())
         }
         followed
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -34,6 +34,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /**
  * Runs the forwarder of one host on the platform described by [deployment].
@@ -95,6 +96,9 @@
         loads?.start()
         metrics.gauge("burdock_forward_open_requests") { server.openRequests }
         metrics.gauge("burdock_forward_hosts") { peers.hostCount }
+        metrics.gauge("burdock_forward_view_age_seconds") {
+            viewUpdater.age(clock.now()).toDouble(DurationUnit.SECONDS)
+        }
         transport.requests.execute(server::start)
         log.onProcess("started", "${settings.host.name} in ${settings.host.failureDomain}")
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -4,6 +4,7 @@
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.exchange.Call
 import burdockspread.forward.exchange.ExchangeEffect
@@ -11,6 +12,8 @@
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.log.LogRateLimiter
 import burdockspread.forward.news.HostViewListener
+import burdockspread.forward.news.ViewUpdate
+import burdockspread.id.TargetId
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import kotlin.time.Duration
@@ -122,9 +125,20 @@
             .with("store_version", version.toString())
             .info(stateLimiter)
 
-    override fun onTargetGone(name: String, version: Long): Unit = stateEvent(
-        "target_removed",
-    ).with("target", name).with("store_version", version.toString()).info(stateLimiter)
+    override fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {
+        val event = when (change) {
+            DirectoryChange.LISTED -> return
+            DirectoryChange.UNCONFIRMED -> "target_unconfirmed"
+            else -> "target_removed"
+        }
+        stateEvent(event)
+            .with("target", id.value)
+            .with("cause", change.name.lowercase())
+            .with("source", update.source)
+            .with("store_version", update.version.toString())
+            .with("view_age_ms", update.age.inWholeMilliseconds.toString())
+            .info(stateLimiter)
+    }
 
     override fun onStoreLost(kind: String, reason: String): Unit =
         stateEvent("store_lost").with("kind", kind).with("detail", reason).warn()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -3,12 +3,15 @@
 
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.exchange.Call
 import burdockspread.forward.exchange.ExchangeEffect
 import burdockspread.forward.exchange.ExchangeListener
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.news.HostViewListener
+import burdockspread.forward.news.ViewUpdate
+import burdockspread.id.TargetId
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -106,8 +109,10 @@
     override fun onTargetChanged(entry: TargetEntry, version: Long): Unit =
         delegate.onTargetChanged(entry, version)
 
-    override fun onTargetGone(name: String, version: Long): Unit =
-        delegate.onTargetGone(name, version)
+    override fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {
+        count("burdock_forward_target_changes_total", "change", change.name.lowercase())
+        delegate.onTargetState(id, change, update)
+    }
 
     override fun onStoreLost(kind: String, reason: String) {
         count("burdock_forward_store_losses_total", "kind", kind)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
@@ -2,7 +2,10 @@
 package burdockspread.forward.news
 
 import burdockspread.forward.catalog.Catalog
+import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.TargetEntry
+import burdockspread.id.TargetId
+import kotlin.time.Duration
 
 /** Receives changes of the host's view, for logs and metrics. */
 public interface HostViewListener {
@@ -12,7 +15,7 @@
 
     public fun onTargetChanged(entry: TargetEntry, version: Long) {}
 
-    public fun onTargetGone(name: String, version: Long) {}
+    public fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {}
 
     public fun onStoreLost(kind: String, reason: String) {}
 
@@ -23,3 +26,16 @@
         public val NONE: HostViewListener = object : HostViewListener {}
     }
 }
+
+/**
+ * The update that changed a host's view.
+ *
+ * @property version store version up to which the view is current.
+ * @property source `list`, `watch`, `timer`, or `peer` with its address.
+ * @property age time since the store or an up-to-date peer had last confirmed the view.
+ */
+public data class ViewUpdate(
+    public val version: Long,
+    public val source: String,
+    public val age: Duration,
+)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -3,6 +3,7 @@
 
 import arrow.core.Either
 import burdockspread.forward.directory.ChangeJournal
+import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.TargetChange
 import burdockspread.forward.directory.TargetDirectory
 import burdockspread.forward.host.Deployment
@@ -39,7 +40,7 @@
     private val listener: HostViewListener = HostViewListener.NONE,
 ) : KindListener {
     private val journal = ChangeJournal(Random.nextLong())
-    private val directory = TargetDirectory(onChanged = journal::record)
+    private val directory = TargetDirectory { id, change -> onTargetState(id, change) }
     private val stored = HashMap<String, StoredObject>()
     private val watchStatuses = HashMap<String, WatchStatus>()
     private var catalogText = ""
@@ -48,11 +49,15 @@
     private var published = -1L
     private var confirmedAt: Instant = Instant.DISTANT_PAST
 
+    /** Where the update that is being applied comes from. */
+    private var source = ""
+
     /** The latest snapshot. */
     public val view: HostView get() = current.get()
 
     override fun onListed(kind: String, listed: ListResult.Listed) {
         val now = onWatchActivity(kind)
+        source = "list"
         if (kind == deployment.targetKind) {
             listed.objects.forEach(::storeEntry)
             directory.onListing(listed.objects.mapNotNull(deployment::target), listed.version, now)
@@ -64,6 +69,7 @@
 
     override fun onEvent(kind: String, event: WatchEvent) {
         val now = onWatchActivity(kind)
+        source = "watch"
         when (event) {
             is WatchEvent.Put ->
                 if (kind == deployment.targetKind) onTarget(event.value) else onCatalog(event.value)
@@ -98,6 +104,13 @@
         return !watchStatus.isLost && now - watchStatus.lastHeardAt <= MAX_WATCH_SILENCE
     }
 
+    /** Returns the time since the store or an up-to-date peer last confirmed the view. */
+    public fun age(now: Instant): Duration {
+        val kinds = listOf(deployment.catalogKey.kind, deployment.targetKind)
+        val heardAt = kinds.minOf { watchStatuses[it]?.lastHeardAt ?: Instant.DISTANT_PAST }
+        return now - maxOf(heardAt, confirmedAt)
+    }
+
     private fun confirmed(now: Instant): Boolean = now - confirmedAt < PEER_CONFIRMATION_TTL
 
     /** Returns this host's request for a peer. */
@@ -145,9 +158,10 @@
         return reply.build()
     }
 
-    /** Applies a peer's reply. [confirmed]: the peer itself is connected to the store. */
-    public fun onReply(reply: NewsReply, confirmed: Boolean) {
+    /** Applies the reply of [peer]. [confirmed]: the peer itself is connected to the store. */
+    public fun onReply(peer: String, reply: NewsReply, confirmed: Boolean) {
         val now = clock.now()
+        source = "peer $peer"
         if (reply.catalog.isNotEmpty()) applyCatalog(reply.catalog, reply.catalogVersion, "peer")
         val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
         val objects = present.map(::storedTarget)
@@ -170,12 +184,12 @@
         changes.forEach { change ->
             change.entry?.let { listener.onTargetChanged(it, change.version) }
         }
-        removals.forEach { listener.onTargetGone(it.id.value, it.version) }
     }
 
     /** Removes targets that stayed unconfirmed. Called a few times per second. */
     public fun tick() {
         val now = clock.now()
+        source = "timer"
         directory.expire(now)
         publish(now)
     }
@@ -197,7 +211,12 @@
         val storeReconnectedAt = watchStatuses[event.key.kind]?.reconnectedAt
         val id = TargetId(event.key.name)
         directory.onRemoved(id, event.version, storeReconnectedAt, now)
-        listener.onTargetGone(event.key.name, event.version)
+    }
+
+    private fun onTargetState(id: TargetId, change: DirectoryChange) {
+        journal.record(id)
+        val update = ViewUpdate(directory.version, source, age(clock.now()))
+        listener.onTargetState(id, change, update)
     }
 
     private fun onTarget(value: StoredObject) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -94,7 +94,7 @@
         val reply = read(peer, calls.call(peer, call, wait + CALL_TIMEOUT)) ?: return null
         journalPositions[peer] = JournalPosition(reply.journalId, reply.journalPosition)
         reply.peersList.forEach(::onPeer)
-        viewUpdater.onReply(reply, reply.confirmed)
+        viewUpdater.onReply(peer, reply, reply.confirmed)
         return reply.confirmed
     }
 
