Keep missing targets only after an outage, by each host's own judgement

What callers saw: requests at a target that had left. Cause: any end of a watch counted as an outage of the store, so that for 2 s a missing target was kept as unconfirmed; and this state of one host was told to its peers as the target's old entry, together with a version past the removal. Relays that ask each other confirmed it to each other, and no host ever removed it. Class of fault: a local judgement told as a fact; a version advanced past a change that was not applied. Change: StoreContact tells an outage (a failed list, and nothing heard for two report intervals) from a watch that ended. Missing entries are kept until 2 s after the last failed list and not from when they were missed. Peers are told what the store says: a kept entry is removed. A kept target is not preferred for a resume, and load policies drop it at its deadline without waiting for a tick (LoadPolicyTest). An empty list of a peer counts as a list. Why it works: nothing but a newer entry of the store confirms a target again. Ruled out: telling peers the deadline as well; hosts in touch would keep targets for a relay that was cut off alone.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Trial.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Trial.kt
@@ -138,7 +138,7 @@
     }
 
     private fun publishTargets() {
-        val targets = listed.values.map { ListedTarget(it, false) }.toImmutableList()
+        val targets = listed.values.map { ListedTarget(it) }.toImmutableList()
         hosts.forEach { it.onTargets(ENGINES, targets, simulation.now) }
     }
 
--- a/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
@@ -61,7 +61,7 @@
                 if (event is WatchEvent.Progress && hasChanges) delay(batchingDelay)
                 hasChanges = event !is WatchEvent.Progress
             }
-        listener.onUnavailable(kind, reason)
+        listener.onWatchEnded(kind, reason)
         return lastEventAt - startedAt
     }
 
@@ -82,7 +82,10 @@
     /** Called with a change, or with a notice that nothing has changed. */
     public fun onEvent(kind: String, event: WatchEvent)
 
-    /** Called when the store does not answer or ends the watch. */
+    /** Called when a watch has ended, which says nothing about the store itself. */
+    public fun onWatchEnded(kind: String, reason: String)
+
+    /** Called when the store does not answer a list. */
     public fun onUnavailable(kind: String, reason: String)
 }
 
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
@@ -83,6 +83,8 @@
 
         override fun onEvent(kind: String, event: WatchEvent) = Unit
 
+        override fun onWatchEnded(kind: String, reason: String) = Unit
+
         override fun onUnavailable(kind: String, reason: String) {
             unavailableCount++
         }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -5,11 +5,11 @@
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableMap
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toImmutableSet
 import kotlin.time.Instant
 
 /**
@@ -17,11 +17,11 @@
  *
  * Within one incarnation, draining takes precedence over live. An older incarnation never replaces
  * a newer one. A target that started later at the same address proves that the earlier one is gone.
- * Entries expire during a store outage although their targets are live, so an entry that is missing
- * from a listing is kept as unconfirmed for [reconnectGrace] and removed only then.
+ * Entries expire during a store outage although their targets are live, so for a while after an
+ * outage missing entries are kept as unconfirmed (see [StoreContact]). This is the host's own
+ * judgement and not told to peers, for which an unconfirmed entry is removed.
  */
 public class TargetDirectory(
-    private val reconnectGrace: Duration = RECONNECT_GRACE,
     private val listener: DirectoryListener = DirectoryListener { _, _ -> },
 ) {
     private var records = persistentMapOf<TargetId, TargetRecord>()
@@ -30,13 +30,21 @@
     public var version: Long = 0
         private set
 
-    /** Replaces the directory by a listing as of [atVersion]; older listings are ignored. */
-    public fun onListing(entries: List<TargetEntry>, atVersion: Long, now: Instant) {
+    /**
+     * Replaces the directory by a listing as of [atVersion]; older listings are ignored. Entries
+     * that are missing from it are kept as unconfirmed until [keepUntil].
+     */
+    public fun onListing(
+        entries: List<TargetEntry>,
+        atVersion: Long,
+        keepUntil: Instant,
+        now: Instant,
+    ) {
         if (atVersion < version) return
         version = atVersion
         val listed = entries.associateBy { it.id }
         listed.values.forEach { merge(it, atVersion) }
-        (records.keys - listed.keys).forEach { id -> markUnconfirmed(id, now) }
+        (records.keys - listed.keys).forEach { id -> onMissing(id, keepUntil, now) }
     }
 
     /** Applies one changed entry of a watch. */
@@ -47,34 +55,36 @@
     }
 
     /**
-     * Applies the changes of a peer whose directory is current as of [atVersion]. A target that is
-     * unknown here and not newer than [version] has been removed since and is not added again.
+     * Applies the changes of a peer whose directory is current as of [atVersion]. An entry that is
+     * missing here and not newer than [version] has been removed since and is not added again.
      */
-    public fun onChanges(changes: List<TargetChange>, atVersion: Long) {
+    public fun onChanges(
+        changes: List<TargetChange>,
+        atVersion: Long,
+        keepUntil: Instant,
+        now: Instant,
+    ) {
         changes.forEach { change ->
             val before = records[change.id]
             val entry = change.entry
             when {
                 entry == null ->
                     if (before != null && before.asOf <= atVersion) {
-                        remove(change.id, DirectoryChange.REMOVED)
+                        onMissing(change.id, keepUntil, now)
                     }
                 change.version > version -> merge(entry, change.version)
-                before != null && before.asOf <= change.version -> merge(entry, change.version)
+                before == null || before.keptUntil != null -> Unit
+                before.asOf <= change.version -> merge(entry, change.version)
             }
         }
         onProgress(atVersion)
     }
 
-    /**
-     * Applies the removal of [id]. Within [reconnectGrace] of [reconnectedAt], the instant at which
-     * the store came back, the entry may merely have expired and is kept as unconfirmed.
-     */
-    public fun onRemoved(id: TargetId, atVersion: Long, reconnectedAt: Instant?, now: Instant) {
+    /** Applies the removal of [id]; the entry is kept as unconfirmed until [keepUntil]. */
+    public fun onRemoved(id: TargetId, atVersion: Long, keepUntil: Instant, now: Instant) {
         if (atVersion <= version) return
         version = atVersion
-        val mayHaveExpired = reconnectedAt != null && now - reconnectedAt < reconnectGrace
-        if (mayHaveExpired) markUnconfirmed(id, now) else remove(id, DirectoryChange.REMOVED)
+        onMissing(id, keepUntil, now)
     }
 
     /** Advances the version when the store reports that nothing else has changed. */
@@ -82,31 +92,24 @@
         if (atVersion > version) version = atVersion
     }
 
-    /** Removes entries unconfirmed for [reconnectGrace]; returns whether any were removed. */
+    /** Removes entries that are no longer kept; returns whether any were removed. */
     public fun expire(now: Instant): Boolean {
-        val gone = records.values.filter {
-            it.unconfirmedSince != null && now - it.unconfirmedSince >= reconnectGrace
-        }
+        val gone = records.values.filter { it.keptUntil != null && now >= it.keptUntil }
         gone.forEach { remove(it.entry.id, DirectoryChange.EXPIRED) }
         return gone.isNotEmpty()
     }
 
-    /** Returns all entries for peers, including draining ones. */
-    public fun entries(): ImmutableList<TargetEntry> =
-        records.values.map { it.entry }.toImmutableList()
+    /** Returns the confirmed entries, including draining ones. */
+    public fun confirmed(): ImmutableSet<TargetId> =
+        records.values.filter { it.keptUntil == null }.map { it.entry.id }.toImmutableSet()
 
     /** Returns the targets that may receive new requests, by service. */
     public fun view(): DirectoryView {
         val usable = records.values.filterNot { it.entry.isDraining }
-        val services = usable.groupBy({
-            it.entry.service
-        }, { ListedTarget(it.entry, it.unconfirmedSince != null) })
-        return DirectoryView(
-            version,
-            services.mapValues {
-                it.value.toImmutableList()
-            }.toImmutableMap(),
-        )
+        val services = usable.groupBy { it.entry.service }.mapValues { (_, records) ->
+            records.map { ListedTarget(it.entry, it.keptUntil) }.toImmutableList()
+        }
+        return DirectoryView(version, services.toImmutableMap())
     }
 
     private fun remove(id: TargetId, change: DirectoryChange) {
@@ -127,29 +130,25 @@
         val known = records[entry.id]
         val next = TargetRecord(entry.copy(isDraining = isDraining), atVersion, null)
         records = records.put(entry.id, next)
-        if (known?.entry != next.entry || known.unconfirmedSince != null) {
+        if (known?.entry != next.entry || known.keptUntil != null) {
             listener.onChange(entry.id, DirectoryChange.LISTED)
         }
     }
 
-    private fun markUnconfirmed(id: TargetId, now: Instant) {
+    private fun onMissing(id: TargetId, keepUntil: Instant, now: Instant) {
         val before = records[id] ?: return
-        if (before.unconfirmedSince != null) return
-        records = records.put(id, before.copy(unconfirmedSince = now))
+        if (now >= keepUntil) return remove(id, DirectoryChange.REMOVED)
+        if (before.keptUntil != null) return
+        records = records.put(id, before.copy(keptUntil = keepUntil))
         listener.onChange(id, DirectoryChange.UNCONFIRMED)
     }
 
-    /** An entry as of a store version; unconfirmed since [unconfirmedSince], if not null. */
+    /** An entry as of a store version; if unconfirmed, it is removed at [keptUntil]. */
     private data class TargetRecord(
         val entry: TargetEntry,
         val asOf: Long,
-        val unconfirmedSince: Instant?,
+        val keptUntil: Instant?,
     )
-
-    public companion object {
-        /** Time after the store's return within which expired entries are registered again. */
-        public val RECONNECT_GRACE: Duration = 2.seconds
-    }
 }
 
 /** Receives the changes of a [TargetDirectory]. */
@@ -197,5 +196,13 @@
     public val version: Long,
 )
 
-/** A target of a view; if [isUnconfirmed], it has been missing from the store since an outage. */
-public data class ListedTarget(public val entry: TargetEntry, public val isUnconfirmed: Boolean)
+/**
+ * A target of a view.
+ *
+ * @property unconfirmedUntil if not null, the entry has been missing from the store since an
+ * outage, and the target must not be used from then on.
+ */
+public data class ListedTarget(
+    public val entry: TargetEntry,
+    public val unconfirmedUntil: Instant? = null,
+)
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -142,7 +142,7 @@
 
     private fun choose(request: PlacementRequest, now: Instant): TargetLoad? {
         val preferred = request.preferredTarget?.let { targets[it] }
-        if (preferred != null && !preferred.isEjected(now)) return preferred
+        if (preferred != null && preferred.isSound(now)) return preferred
         val reader = locate(request, now)
         val sample = sample().let { if (reader == null || reader in it) it else it + reader }
         return chooseFrom(sample, request, reader, now)
@@ -164,8 +164,9 @@
     ): TargetLoad? {
         val eligible =
             open.filter { it.entry.id !in request.avoidedTargets && hasCapacity(it, request, now) }
-        val healthy = eligible.filterNot { it.isEjected(now) || it.isUnconfirmed }
-        val fallback = { eligible.filterNot { it.isEjected(now) }.ifEmpty { lastResort(request) } }
+        val healthy = eligible.filter { it.isSound(now) }
+        val fallback =
+            { eligible.filterNot { it.isEjected(now) }.ifEmpty { lastResort(request, now) } }
         return pickBest(healthy.ifEmpty(fallback), now) { target ->
             if (target === reader) request.promptTokens / PREFILL_TOKENS_PER_REQUEST else 0.0
         }
@@ -178,8 +179,10 @@
     }
 
     /** Targets that already failed this request or are ejected, if the pool has no others. */
-    private fun lastResort(request: PlacementRequest): List<TargetLoad> =
-        if (pool.size <= request.avoidedTargets.size) pool else emptyList()
+    private fun lastResort(request: PlacementRequest, now: Instant): List<TargetLoad> {
+        if (pool.size > request.avoidedTargets.size) return emptyList()
+        return pool.filterNot { it.isGone(now) }
+    }
 
     /**
      * Selects a target for the replica, in another failure domain if possible. A target without
@@ -193,8 +196,7 @@
         val open = sample().filter {
             it !== primary &&
                 it.entry.id !in request.avoidedTargets &&
-                !it.isUnconfirmed &&
-                !it.isEjected(now)
+                it.isSound(now)
         }
         val otherDomains = open.filter { it.entry.failureDomain != primary.entry.failureDomain }
         return pickBest(otherDomains.ifEmpty { open }, now)
@@ -238,6 +240,7 @@
         if (samples.isEmpty()) 0.0 else samples.sorted()[samples.size / 2]
 
     private fun hasCapacity(target: TargetLoad, request: PlacementRequest, now: Instant): Boolean {
+        if (target.isGone(now)) return false
         val engine = service?.engine
         val remote = target.reportedRemoteLoad(now, decayTime()) ?: 0.0
         if (engine == null) return target.localLoad + remote < target.entry.slots * MAX_SLOT_LOAD
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -17,8 +17,7 @@
 internal class TargetLoad(listed: ListedTarget, now: Instant) {
     var entry: TargetEntry = listed.entry
         private set
-    var isUnconfirmed: Boolean = listed.isUnconfirmed
-        private set
+    private var unconfirmedUntil: Instant? = listed.unconfirmedUntil
 
     /** When this incarnation became known; what an earlier one had cached is gone. */
     var knownSince: Instant = now
@@ -41,7 +40,7 @@
         val isRestarted =
             !entry.isSameIncarnation(listed.entry) || entry.address != listed.entry.address
         entry = listed.entry
-        isUnconfirmed = listed.isUnconfirmed
+        unconfirmedUntil = listed.unconfirmedUntil
         if (!isRestarted) return
         knownSince = now
         failureEwma = 0.0
@@ -81,6 +80,12 @@
 
     fun isEjected(now: Instant): Boolean = now < ejectedUntil
 
+    /** Whether the target is neither ejected nor unconfirmed. */
+    fun isSound(now: Instant): Boolean = unconfirmedUntil == null && !isEjected(now)
+
+    /** Whether the target counts as gone although it is still listed. */
+    fun isGone(now: Instant): Boolean = unconfirmedUntil.let { it != null && now >= it }
+
     fun add(localId: Long, request: RequestLoad) {
         requests[localId] = request
         localTokens += request.totalTokens
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
@@ -49,7 +49,7 @@
         view.directory.services.forEach { (service, targets) ->
             putJsonArray(service.value) {
                 targets.forEach { listed ->
-                    val suffix = if (listed.isUnconfirmed) " (doubtful)" else ""
+                    val suffix = if (listed.unconfirmedUntil != null) " (doubtful)" else ""
                     add("${listed.entry.id} at ${listed.entry.address}$suffix")
                 }
             }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -4,6 +4,7 @@
 import arrow.core.Either
 import burdockspread.forward.directory.ChangeJournal
 import burdockspread.forward.directory.DirectoryChange
+import burdockspread.forward.directory.StoreContact
 import burdockspread.forward.directory.TargetChange
 import burdockspread.forward.directory.TargetDirectory
 import burdockspread.forward.host.Deployment
@@ -49,6 +50,8 @@
     private var published = -1L
     private var confirmedAt: Instant = Instant.DISTANT_PAST
 
+    private val storeContact = StoreContact(TARGET_REPORT_INTERVAL)
+
     /** Where the update that is being applied comes from. */
     private var source = ""
 
@@ -60,7 +63,8 @@
         source = "list"
         if (kind == deployment.targetKind) {
             listed.objects.forEach(::storeEntry)
-            directory.onListing(listed.objects.mapNotNull(deployment::target), listed.version, now)
+            val entries = listed.objects.mapNotNull(deployment::target)
+            directory.onListing(entries, listed.version, storeContact.keepUntil, now)
         } else {
             listed.objects.firstOrNull { it.key == deployment.catalogKey }?.let(::onCatalog)
         }
@@ -81,7 +85,14 @@
         publish(now)
     }
 
+    override fun onWatchEnded(kind: String, reason: String): Unit = onLost(kind, reason)
+
     override fun onUnavailable(kind: String, reason: String) {
+        if (kind == deployment.targetKind) storeContact.onFailed(clock.now())
+        onLost(kind, reason)
+    }
+
+    private fun onLost(kind: String, reason: String) {
         val watchStatus = watchStatuses.getOrPut(kind) { WatchStatus() }
         if (!watchStatus.isLost) listener.onStoreLost(kind, reason)
         watchStatus.isLost = true
@@ -152,7 +163,7 @@
             reply.changesOnly = true
             changed.forEach { reply.addTargets(change(it)) }
         } else if (directory.version > request.targetsVersion) {
-            directory.entries().mapNotNull { stored[it.id.value] }
+            directory.confirmed().mapNotNull { stored[it.value] }
                 .forEach { reply.addTargets(targetNews(it)) }
         }
         return reply.build()
@@ -166,21 +177,30 @@
         val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
         val objects = present.map(::storedTarget)
         objects.forEach(::storeEntry)
+        if (confirmed) {
+            confirmedAt = now
+            storeContact.onHeard(now)
+        }
         if (reply.changesOnly) {
-            onChanges(objects, removed, reply.targetsVersion)
-        } else if (objects.isNotEmpty()) {
-            directory.onListing(objects.mapNotNull(deployment::target), reply.targetsVersion, now)
+            onChanges(objects, removed, reply.targetsVersion, now)
+        } else if (reply.targetsVersion > directory.version) {
+            val entries = objects.mapNotNull(deployment::target)
+            directory.onListing(entries, reply.targetsVersion, storeContact.keepUntil, now)
         }
-        if (confirmed) confirmedAt = now
         publish(now)
     }
 
-    private fun onChanges(present: List<StoredObject>, removed: List<TargetNews>, at: Long) {
+    private fun onChanges(
+        present: List<StoredObject>,
+        removed: List<TargetNews>,
+        version: Long,
+        now: Instant,
+    ) {
         val changes = present.mapNotNull { stored ->
             deployment.target(stored)?.let { TargetChange(it.id, it, stored.version) }
         }
         val removals = removed.map { TargetChange(TargetId(it.name), null, it.version) }
-        directory.onChanges(changes + removals, at)
+        directory.onChanges(changes + removals, version, storeContact.keepUntil, now)
         changes.forEach { change ->
             change.entry?.let { listener.onTargetChanged(it, change.version) }
         }
@@ -197,20 +217,17 @@
     private fun onWatchActivity(kind: String): Instant {
         val now = clock.now()
         val watchStatus = watchStatuses.getOrPut(kind) { WatchStatus() }
-        if (watchStatus.isLost) {
-            watchStatus.reconnectedAt = now
-            listener.onStoreReconnected(kind)
-        }
+        if (watchStatus.isLost) listener.onStoreReconnected(kind)
         watchStatus.isLost = false
         watchStatus.lastHeardAt = now
+        if (kind == deployment.targetKind) storeContact.onHeard(now)
         return now
     }
 
     private fun onDeleted(event: WatchEvent.Deleted, now: Instant) {
         if (event.key.kind != deployment.targetKind) return
-        val storeReconnectedAt = watchStatuses[event.key.kind]?.reconnectedAt
         val id = TargetId(event.key.name)
-        directory.onRemoved(id, event.version, storeReconnectedAt, now)
+        directory.onRemoved(id, event.version, storeContact.keepUntil, now)
     }
 
     private fun onTargetState(id: TargetId, change: DirectoryChange) {
@@ -254,7 +271,7 @@
         val targets = if (isUnchanged) before.directory else directory.view()
         val direct = isWatchCurrent(deployment.catalogKey.kind, now)
         current.set(before.copy(directory = targets, isConfirmed = direct || confirmed(now)))
-        if (!isUnchanged) stored.keys.retainAll(directory.entries().map { it.id.value }.toSet())
+        if (!isUnchanged) stored.keys.retainAll(directory.confirmed().map { it.value }.toSet())
         published = journal.position
         changes.value++
     }
@@ -278,7 +295,6 @@
     private class WatchStatus {
         var isLost = false
         var lastHeardAt: Instant = Instant.DISTANT_PAST
-        var reconnectedAt: Instant? = null
     }
 
     public companion object {
@@ -288,6 +304,9 @@
         /** Silence after which the store counts as lost: one watch plus network latency. */
         private val MAX_WATCH_SILENCE = WATCH_WAIT + 700.milliseconds
 
+        /** Interval at which targets renew their entries. */
+        private val TARGET_REPORT_INTERVAL = 1_200.milliseconds
+
         /** Maximum time for which a peer may wait, whatever it requests. */
         private val MAX_PEER_WAIT = 5_000.milliseconds
 
