Stop using a target whose entry becomes unreadable

An unreadable entry in a watch only advanced the version, so the target stayed in use as it was before, while a list of the same entries left it out. Failed before: HostViewUpdaterTest "a target whose entry becomes unreadable gets no new requests" (expected [b], was [a, b]). Now both ways remove it.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -81,7 +81,7 @@
         when (event) {
             is WatchEvent.Put ->
                 if (kind == deployment.targetKind) {
-                    onTarget(event.value)
+                    onTarget(event.value, now)
                 } else {
                     onCatalog(event.value)
                 }
@@ -255,9 +255,14 @@
         listener.onTargetState(id, change, update)
     }
 
-    private fun onTarget(value: StoredObject) {
+    private fun onTarget(value: StoredObject, now: Instant) {
         storeEntry(value)
-        val entry = deployment.target(value) ?: return directory.onProgress(value.version)
+        val entry = deployment.target(value)
+        if (entry == null) {
+            // An entry that another writer has made unreadable names no usable target.
+            directory.onRemoved(TargetId(value.key.name), value.version, now, now)
+            return
+        }
         directory.onEntry(entry, value.version)
         listener.onTargetChanged(entry, value.version)
     }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -143,6 +143,15 @@
         assertEquals(0, reply.targetsCount)
     }
 
+    // Guards against requests to a target whose entry another writer has overwritten.
+    @Test
+    fun `a target whose entry becomes unreadable gets no new requests`() {
+        follow()
+        updater.onEvent("targets", WatchEvent.Put(target("b", 8)))
+        updater.onEvent("targets", WatchEvent.Put(target("a", 9).copy(value = "unreadable")))
+        assertEquals(listOf("b"), usableTargets())
+    }
+
     // Guards against a removal that was held back because a watch had ended just before.
     @Test
     fun `a removal right after a watch was cut takes effect at once`() {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
@@ -21,7 +21,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Deployment whose configurations are a version number and whose targets are their name. */
+/**
+ * Deployment whose configurations are a version number. The text of a target's entry ends with
+ * `leaving` if it drains; `unreadable` describes no target.
+ */
 internal object TextDeployment : Deployment {
     override val protocol: ProtocolAdapter get() = error("unused")
     override val catalogKey = ObjectKey("settings", "newest")
@@ -39,7 +42,8 @@
         ).right()
     }
 
-    override fun target(stored: StoredObject): TargetEntry {
+    override fun target(stored: StoredObject): TargetEntry? {
+        if (stored.value == "unreadable") return null
         val isDraining = stored.value.endsWith("leaving")
         val id = TargetId(stored.key.name)
         val domain = FailureDomainId("north")
