Answer followers whenever the store confirms the relay's view again

Cause: a relay answered a follower only once both of its watches had answered after the request arrived, so a follower's view grew older than its relay's by up to one wait and the follower watched the store itself for a moment. Change: requests echo the time of the last confirmation that the follower knows.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -141,22 +141,21 @@
         .build()
 
     /**
-     * Waits until this host knows more than [request] states, the store confirms its view again, it
-     * loses the store, or the requested time has passed.
+     * Waits until this host knows more than [request] states, the store has confirmed its view
+     * again since its last reply, it loses the store, or the requested time has passed.
      */
     public suspend fun awaitUpdate(request: NewsRequest) {
-        val start = clock.now()
         withTimeoutOrNull(request.waitMillis.milliseconds.coerceAtMost(MAX_PEER_WAIT)) {
-            changes.first {
-                hasUpdate(request) || heardAt() > start || !isFollowingStore(clock.now())
-            }
+            changes.first { hasUpdate(request) || !isFollowingStore(clock.now()) }
         }
     }
 
     private fun hasUpdate(request: NewsRequest): Boolean {
         val targets = journal.changedSince(request.journalId, request.journalPosition)
         val newer = targets?.isNotEmpty() ?: (directory.version > request.targetsVersion)
-        return newer || (view.catalog?.version ?: 0) > request.catalogVersion
+        return newer ||
+            (view.catalog?.version ?: 0) > request.catalogVersion ||
+            heardAt().toEpochMilliseconds() > request.heardAtMillis
     }
 
     /** Returns what this host knows beyond [request], which arrived at [receivedAt]. */
@@ -168,6 +167,7 @@
         val reply = NewsReply.newBuilder().addAllPeers(peers)
         reply.confirmed = isFollowingStore(clock.now())
         reply.heardAfterMillis = (heardAt() - receivedAt).inWholeMilliseconds
+        reply.heardAtMillis = heardAt().toEpochMilliseconds()
         val version = view.catalog?.version ?: 0
         reply.catalogVersion = version
         if (version > request.catalogVersion) reply.catalog = catalogText
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -36,8 +36,8 @@
 ) {
     private val peers = LinkedHashSet<String>(seeds - ownAddress)
 
-    /** This host's positions in the change journals of its peers. */
-    private val journalPositions = HashMap<String, JournalPosition>()
+    /** The last replies of the peers, without what they told. */
+    private val lastReplies = HashMap<String, NewsReply>()
 
     /** Returns the addresses of the known hosts, including this one. */
     public fun knownAddresses(): List<String> = peers.take(MAX_SHARED_PEERS) + ownAddress
@@ -55,7 +55,7 @@
         if (addresses.isNotEmpty()) {
             peers.clear()
             addresses.forEach(::onPeer)
-            journalPositions.keys.retainAll(peers)
+            lastReplies.keys.retainAll(peers)
         }
     }
 
@@ -90,14 +90,15 @@
     /** Pulls what [peer] knows beyond this host; returns null if it did not answer. */
     public suspend fun pull(peer: String, wait: Duration = Duration.ZERO): Boolean? {
         val request = viewUpdater.request(host, ownAddress).toBuilder()
-        journalPositions[peer]?.let {
-            request.setJournalId(it.journal).setJournalPosition(it.position)
+        lastReplies[peer]?.let {
+            request.setJournalId(it.journalId).setJournalPosition(it.journalPosition)
+                .setHeardAtMillis(it.heardAtMillis)
         }
         request.waitMillis = wait.inWholeMilliseconds.toInt()
         val call = CallRequest("POST", PATH, request.build().toByteArray(), PROTOBUF)
         val sentAt = clock.now()
         val reply = read(peer, calls.call(peer, call, wait + CALL_TIMEOUT)) ?: return null
-        journalPositions[peer] = JournalPosition(reply.journalId, reply.journalPosition)
+        lastReplies[peer] = reply.toBuilder().clearTargets().clearCatalog().clearPeers().build()
         reply.peersList.forEach(::onPeer)
         viewUpdater.onReply(peer, reply, sentAt)
         return reply.confirmed
@@ -118,7 +119,7 @@
 
     private fun read(peer: String, result: CallResult): NewsReply? {
         if (result !is CallResult.Response || result.status != OK) {
-            journalPositions -= peer
+            lastReplies -= peer
             return null
         }
         return try {
@@ -129,8 +130,6 @@
         }
     }
 
-    private class JournalPosition(val journal: Long, val position: Long)
-
     public companion object {
         /** Path of update requests at a host's peer address. */
         public const val PATH: String = "/peer/news"
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/LeavingTargetTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/LeavingTargetTest.kt
@@ -1,10 +1,12 @@
 package burdockspread.forward.host
 
+import burdockspread.forward.relay.UpdateTiming
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -57,6 +59,21 @@
         assertEquals(emptyList(), fleet.usersOf(LEAVING))
     }
 
+    // Guards against followers that watch the store because their relay answers them too late.
+    @Test
+    fun `while nothing fails only the relays call the store`() = runTest {
+        val fleet = fleet(domains = 3, hostsPerDomain = 5)
+        val before = fleet.store.calls
+        repeat(600) {
+            delay(100.milliseconds)
+            if (it % 10 == 0) fleet.store.put("targets", STAYING, STAYING)
+            assertEquals(3, fleet.relays.size)
+        }
+        val watches = 2 * 3 * (1.minutes / UpdateTiming().watchWait)
+        val changes = 3 * 60
+        assertTrue(fleet.store.calls - before <= watches + changes)
+    }
+
     /** Trouble of some relays' links around the removal of a target. */
     private data class TroubleOfRelays(
         val hostsPerDomain: Int,
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
@@ -26,6 +26,10 @@
     private var revision = 1L
     private var oldestRevision = 0L
 
+    /** Lists and watch responses so far, each of which counts as a call. */
+    var calls = 0
+        private set
+
     /** While true, watches hear of no change. */
     var areWatchesMuted = false
 
@@ -49,11 +53,15 @@
         wakeUps.value++
     }
 
-    fun list(kind: String): ListResult =
-        ListResult.Listed(objects.values.filter { it.key.kind == kind }.toImmutableList(), revision)
+    fun list(kind: String): ListResult {
+        calls++
+        val listed = objects.values.filter { it.key.kind == kind }.toImmutableList()
+        return ListResult.Listed(listed, revision)
+    }
 
     /** Returns the changes after [version], or null if they are no longer known. */
     suspend fun changes(kind: String, version: Long, wait: Duration): List<WatchEvent>? {
+        calls++
         withTimeoutOrNull(wait) {
             wakeUps.first { version < oldestRevision || hasChanges(kind, version) }
         }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -222,6 +222,7 @@
         .setTargetsVersion(reply.targetsVersion)
         .setJournalId(reply.journalId)
         .setJournalPosition(reply.journalPosition)
+        .setHeardAtMillis(reply.heardAtMillis)
         .setWaitMillis(1_000)
         .build()
 
