Never trust a peer's statement of time beyond its arrival

A malformed reply could state a confirmation in the future, after which the host would have trusted its view for ever. Failed before: HostViewUpdaterTest "a peer cannot confirm a view in advance" (age -50 s, not 10 s) and "a request that knows an earlier process of the peer is answered at once".

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -155,6 +155,7 @@
         val newer = targets?.isNotEmpty() ?: (directory.version > request.targetsVersion)
         return newer ||
             (view.catalog?.version ?: 0) > request.catalogVersion ||
+            request.journalId != journal.id ||
             heardAt().toEpochMilliseconds() > request.heardAtMillis
     }
 
@@ -189,7 +190,7 @@
     public fun onReply(peer: String, reply: NewsReply, sentAt: Instant) {
         val now = clock.now()
         source = "peer $peer"
-        onPeerHeard(sentAt + reply.heardAfterMillis.milliseconds)
+        onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
         if (reply.catalog.isNotEmpty()) applyCatalog(reply.catalog, reply.catalogVersion, "peer")
         val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
         val objects = present.map(::storedTarget)
@@ -294,13 +295,8 @@
         val isUnchanged = journal.position == published
         val targets = if (isUnchanged) before.directory else directory.view()
         val direct = isWatchCurrent(deployment.catalogKey.kind, now)
-        current.set(
-            before.copy(
-                directory = targets,
-                isConfirmed =
-                direct || now - peerHeardAt <= timing.maxAge,
-            ),
-        )
+        val isConfirmed = direct || now - peerHeardAt <= timing.maxAge
+        current.set(before.copy(directory = targets, isConfirmed = isConfirmed))
         if (!isUnchanged) stored.keys.retainAll(directory.confirmed().map { it.value }.toSet())
         published = journal.position
         changes.value++
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
@@ -13,10 +13,13 @@
 import burdockspread.store.KindWatcher
 import burdockspread.time.TimeSource
 import burdockspread.wire.forward.NewsRequest
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.withTimeoutOrNull
@@ -39,12 +42,12 @@
     REFUSED(2.milliseconds),
 }
 
-/** One direction-less link; null stands for a call that the other end rejected. */
+/** A link; null stands for a call that the other end rejected. */
 internal class SimulatedLink {
     var state: LinkState = LinkState.UP
 
     /** Passes a call to [serve] and its result back. */
-    suspend fun <T : Any> call(serve: suspend () -> T): T? {
+    suspend fun <T : Any> call(serve: suspend () -> T?): T? {
         if (!pass()) return null
         val served = serve()
         return if (pass()) served else null
@@ -59,7 +62,7 @@
 
 /** Failure domains with [hostsPerDomain] hosts each, which list each other from the start. */
 internal class FleetSimulation(private val scope: TestScope, domains: Int, hostsPerDomain: Int) {
-    val store = SimulatedStore()
+    val store = SimulatedStore(::now)
     val hosts: List<SimulatedHost> = List(domains) { domain ->
         List(hostsPerDomain) { SimulatedHost("host-$domain-$it", "domain-$domain") }
     }.flatten()
@@ -82,10 +85,37 @@
         val address = "$name:1"
         val storeLink = SimulatedLink()
         val peerLink = SimulatedLink()
-        private val clock = TimeSource { now() }
-        val updater = HostViewUpdater(TextDeployment, clock)
-        private val peers =
-            PeerNews(
+        private var listed = emptyList<ListedHost>()
+        private var process = Process()
+        val updater: HostViewUpdater get() = process.updater
+
+        /** Targets that may receive requests now. */
+        val usableTargets: Set<String>
+            get() = updater.view.directory.services.values.flatten()
+                .filter { listed -> listed.unconfirmedUntil.let { it == null || now() < it } }
+                .map { it.entry.id.value }
+                .toSet()
+
+        fun start(listed: List<ListedHost>) {
+            this.listed = listed
+            process.start()
+        }
+
+        /** Kills the process and starts another one. */
+        fun restart() {
+            process.job.cancel()
+            process = Process()
+            process.start()
+        }
+
+        suspend fun answer(request: NewsRequest) = process.peers.answer(request)
+
+        private inner class Process {
+            val job = SupervisorJob(scope.backgroundScope.coroutineContext.job)
+            private val processScope = scope.backgroundScope + job
+            private val clock = TimeSource { now() }
+            val updater = HostViewUpdater(TextDeployment, clock)
+            val peers = PeerNews(
                 name,
                 address,
                 emptyList(),
@@ -94,33 +124,36 @@
                 clock,
                 Random(name.hashCode()),
             )
-        private val objects = SimulatedObjectStore(store, storeLink, UpdateTiming().watchWait)
-        private val following = Following(
-            HostId(name),
-            FailureDomainId(domain),
-            updater,
-            peers,
-            clock,
-            scope.backgroundScope,
-            watch = ::watch,
-        )
-
-        /** Targets that may receive requests now. */
-        val usableTargets: Set<String>
-            get() = updater.view.directory.services.values.flatten()
-                .map { it.entry.id.value }.toSet()
-
-        fun start(listed: List<ListedHost>) {
-            following.onListed(listed)
-            scope.backgroundScope.launch { following.run() }
-            scope.backgroundScope.launch { peers.run() }
-        }
+            private val objects = SimulatedObjectStore(store, storeLink, UpdateTiming().watchWait)
+            private val following = Following(
+                HostId(name),
+                FailureDomainId(domain),
+                updater,
+                peers,
+                clock,
+                processScope,
+                watch = ::watch,
+            )
 
-        suspend fun answer(request: NewsRequest) = peers.answer(request)
+            fun start() {
+                following.onListed(listed)
+                processScope.launch { following.run() }
+                processScope.launch { peers.run() }
+            }
 
-        private suspend fun watch(): Unit = coroutineScope {
-            listOf(TextDeployment.catalogKey.kind, TextDeployment.targetKind).forEach { kind ->
-                launch { KindWatcher(kind, objects, updater, clock, startsCached = false).run() }
+            private suspend fun watch(): Unit = coroutineScope {
+                val startsCached = !updater.view.serving
+                listOf(TextDeployment.catalogKey.kind, TextDeployment.targetKind).forEach { kind ->
+                    launch {
+                        KindWatcher(
+                            kind,
+                            objects,
+                            updater,
+                            clock,
+                            startsCached = startsCached,
+                        ).run()
+                    }
+                }
             }
         }
 
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
@@ -17,19 +17,24 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Objects with one revision counter, and the events that led to them. */
-internal class SimulatedStore {
+internal class SimulatedStore(private val now: () -> Instant) {
     private val objects = LinkedHashMap<ObjectKey, StoredObject>()
     private val history = ArrayList<HistoryEntry>()
     private val wakeUps = MutableStateFlow(0)
-    private var revision = 1L
+    private var revision = FIRST_REVISION
     private var oldestRevision = 0L
 
     /** Lists and watch responses so far, each of which counts as a call. */
     var calls = 0
         private set
 
+    /** The link that all hosts share. */
+    val link = SimulatedLink()
+
     /** While true, watches hear of no change. */
     var areWatchesMuted = false
 
@@ -59,6 +64,22 @@
         return ListResult.Listed(listed, revision)
     }
 
+    /** Lists the objects as they were [CACHE_AGE] ago. */
+    fun listCached(kind: String): ListResult {
+        calls++
+        val known = history.takeWhile { it.at <= now() - CACHE_AGE }
+        val cached = LinkedHashMap<ObjectKey, StoredObject>()
+        known.filter { it.kind == kind }.forEach {
+            when (val event = it.event) {
+                is WatchEvent.Put -> cached[event.value.key] = event.value
+                is WatchEvent.Deleted -> cached.remove(event.key)
+                else -> Unit
+            }
+        }
+        val version = known.lastOrNull()?.revision ?: FIRST_REVISION
+        return ListResult.Listed(cached.values.toImmutableList(), version, isCached = true)
+    }
+
     /** Returns the changes after [version], or null if they are no longer known. */
     suspend fun changes(kind: String, version: Long, wait: Duration): List<WatchEvent>? {
         calls++
@@ -75,11 +96,21 @@
         !areWatchesMuted && history.any { it.kind == kind && it.revision > version }
 
     private fun record(kind: String, event: WatchEvent) {
-        history += HistoryEntry(kind, revision, event)
+        history += HistoryEntry(kind, revision, event, now())
         wakeUps.value++
     }
 
-    private class HistoryEntry(val kind: String, val revision: Long, val event: WatchEvent)
+    private class HistoryEntry(
+        val kind: String,
+        val revision: Long,
+        val event: WatchEvent,
+        val at: Instant,
+    )
+
+    private companion object {
+        const val FIRST_REVISION = 1L
+        val CACHE_AGE = 5.seconds
+    }
 }
 
 /** One host's access to [store] over [link]. */
@@ -91,7 +122,11 @@
     override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
 
     override suspend fun list(kind: String): ListResult =
-        withTimeoutOrNull(CALL_TIMEOUT) { link.call { store.list(kind) } }
+        withTimeoutOrNull(CALL_TIMEOUT) { call { store.list(kind) } }
+            ?: ListResult.Unavailable("no answer")
+
+    override suspend fun listCached(kind: String): ListResult =
+        withTimeoutOrNull(CALL_TIMEOUT) { call { store.listCached(kind) } }
             ?: ListResult.Unavailable("no answer")
 
     override suspend fun put(
@@ -108,7 +143,7 @@
         var at = version
         while (true) {
             val events = withTimeoutOrNull(watchWait + CALL_TIMEOUT) {
-                link.call { store.changes(kind, at, watchWait) ?: emptyList() }
+                call { store.changes(kind, at, watchWait) ?: emptyList() }
             }
             if (events.isNullOrEmpty()) return@flow emit(WatchEvent.Ended("watch ended"))
             events.forEach { emit(it) }
@@ -116,6 +151,9 @@
         }
     }
 
+    private suspend fun <T : Any> call(serve: suspend () -> T): T? =
+        link.call { store.link.call(serve) }
+
     private companion object {
         val CALL_TIMEOUT = 600.milliseconds
     }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -200,6 +200,27 @@
         assertEquals(listOf("b"), usableTargets())
     }
 
+    // Guards against a host that trusts its view for ever after one malformed reply.
+    @Test
+    fun `a peer cannot confirm a view in advance`() {
+        follow()
+        updater.onWatchEnded("targets", "no answer")
+        val reply = NewsReply.newBuilder().setHeardAfterMillis(60_000).build()
+        updater.onReply("peer", reply, now)
+        now += 10.seconds
+        assertEquals(10.seconds, updater.age(now))
+    }
+
+    @Test
+    fun `a request that knows an earlier process of the peer is answered at once`() = runTest {
+        follow()
+        val reply = updater.reply(updater.request("h2", "10.0.0.2:70"), now, emptyList())
+        val request = followOn(reply).toBuilder().setJournalId(reply.journalId + 1).build()
+        val waiting = async { updater.awaitUpdate(request) }
+        runCurrent()
+        assertTrue(waiting.isCompleted)
+    }
+
     @Test
     fun `entries of removed targets are not kept`() {
         follow()
