Send followers the changes since their own version

What callers saw: requests at a target that had left, on hosts that followed a relay, for as long as the target lived. Cause: a relay told the changes of its own directory since the follower's last request, and the follower took its version from them. A follower that had learned more from elsewhere meanwhile may know a target that the relay never saw, because it listed before and after that target, or may have dropped one that the relay never missed. Neither change is told, and the follower's version passes it. Changes since a version that the follower has left meanwhile are not applied. Failed before: HostViewUpdaterTest "a follower drops a target that its relay has never known" (was [a, b]), "a follower learns of a target that returned with the same entry" (was []), "changes since an older version do not make a host current" (was [a]).

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/ChangeJournal.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/ChangeJournal.kt
@@ -2,37 +2,67 @@
 package burdockspread.forward.directory
 
 import burdockspread.id.TargetId
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.toImmutableMap
 
 /**
- * Numbers the changes of a directory, so that a following peer receives only what changed since its
- * last request. Not thread-safe.
+ * Remembers at which store versions targets changed, so that a peer receives only what it lacks.
+ * Not thread-safe.
+ *
+ * A list skips versions: a target that was added and removed in between never appears in it. A peer
+ * whose version lies within such a gap may know that target, so it needs the whole list.
  *
- * @param id distinguishes journals; each process starts a new one.
  * @param capacity number of changes that are kept; a peer that is further behind receives
  * everything.
  */
-public class ChangeJournal(public val id: Long, private val capacity: Int = DEFAULT_CAPACITY) {
-    private val changed = ArrayDeque<TargetId>()
+public class ChangeJournal(private val capacity: Int = DEFAULT_CAPACITY) {
+    private val changes = ArrayDeque<Change>()
+
+    /** The versions within the gaps, oldest first. */
+    private val gaps = ArrayDeque<LongRange>()
+
+    /** Version from which on all changes are known, or null before the first list. */
+    private var start: Long? = null
+
+    /** Records that [target] was put or removed at [version]. */
+    public fun record(target: TargetId, version: Long) {
+        changes.addLast(Change(target, version))
+        if (changes.size > capacity) startAt(changes.removeFirst().version)
+    }
 
-    /** Number of changes so far. */
-    public var position: Long = 0
-        private set
+    /** Records that a list as of [version] followed on the state as of [before]. */
+    public fun onList(before: Long, version: Long) {
+        if (start == null) start = version
+        val gap = before + 1 until version
+        if (gap.isEmpty()) return
+        gaps.addLast(gap)
+        if (gaps.size > MAX_GAPS) startAt(gaps.removeFirst().last + 1)
+    }
 
-    public fun record(target: TargetId) {
-        position++
-        changed.addLast(target)
-        if (changed.size > capacity) changed.removeFirst()
+    /**
+     * Returns the targets that changed after [version] with the version of their last change, or
+     * null if not all of them are known.
+     */
+    public fun changedSince(version: Long): ImmutableMap<TargetId, Long>? {
+        val first = start ?: return null
+        if (version < first || gaps.any { version in it }) return null
+        return changes.filter { it.version > version }
+            .groupBy({ it.target }, { it.version })
+            .mapValues { (_, versions) -> versions.max() }
+            .toImmutableMap()
     }
 
-    /** Returns the targets changed after [position] of the journal [id], or null if unknown. */
-    public fun changedSince(id: Long, position: Long): Set<TargetId>? {
-        val missed = this.position - position
-        if (id != this.id || missed !in 0..changed.size) return null
-        return changed.takeLast(missed.toInt()).toSet()
+    private fun startAt(version: Long) {
+        start = maxOf(start ?: version, version)
     }
 
+    private class Change(val target: TargetId, val version: Long)
+
     private companion object {
         /** Covers about ten seconds in which every target of a service is replaced. */
         const val DEFAULT_CAPACITY = 2_048
+
+        /** Hosts list again once or twice after each interruption. */
+        const val MAX_GAPS = 64
     }
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/ChangeJournalTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/ChangeJournalTest.kt
@@ -6,27 +6,42 @@
 import kotlin.test.assertNull
 
 class ChangeJournalTest {
-    private val journal = ChangeJournal(id = 7, capacity = 3)
+    private val journal = ChangeJournal(capacity = 3)
 
     @Test
-    fun `an up-to-date reader gets no changes`() {
-        record("a")
-        assertEquals(emptySet(), journal.changedSince(7, 1))
+    fun `a reader that is behind gets each changed target once, with its last change`() {
+        journal.onList(0, 4)
+        record("a" to 5, "b" to 6, "a" to 8)
+        assertEquals(mapOf("a" to 8L, "b" to 6L), changedSince(4))
+        assertEquals(mapOf("a" to 8L), changedSince(6))
+        assertEquals(emptyMap(), changedSince(8))
+        assertEquals(emptyMap(), changedSince(20))
     }
 
     @Test
-    fun `a reader that is behind gets each changed target once`() {
-        record("a", "b", "a")
-        assertEquals(setOf(TargetId("b"), TargetId("a")), journal.changedSince(7, 1))
+    fun `a reader that is too far behind gets everything`() {
+        assertNull(changedSince(0))
+        journal.onList(0, 4)
+        assertNull(changedSince(3))
+        record("a" to 5, "b" to 6, "c" to 7, "d" to 8)
+        assertNull(changedSince(4))
+        assertEquals(setOf("b", "c", "d"), changedSince(5)?.keys)
     }
 
+    // Guards against targets that a list passed over, and which a reader of that time still has.
     @Test
-    fun `a reader too far behind or of another journal gets null`() {
-        record("a", "b", "c", "d")
-        assertNull(journal.changedSince(7, 0))
-        assertNull(journal.changedSince(8, 4))
-        assertNull(journal.changedSince(7, 5))
+    fun `a reader within the versions that a list passed over gets everything`() {
+        journal.onList(0, 4)
+        journal.onList(4, 9)
+        record("a" to 9)
+        assertEquals(setOf("a"), changedSince(4)?.keys)
+        listOf(5L, 8L).forEach { assertNull(changedSince(it)) }
+        assertEquals(emptyMap(), changedSince(9))
     }
 
-    private fun record(vararg names: String) = names.forEach { journal.record(TargetId(it)) }
+    private fun record(vararg changes: Pair<String, Int>) =
+        changes.forEach { (name, version) -> journal.record(TargetId(name), version.toLong()) }
+
+    private fun changedSince(version: Long) =
+        journal.changedSince(version)?.mapKeys { it.key.value }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -13,7 +13,6 @@
 import burdockspread.id.TargetId
 import burdockspread.store.KindListener
 import burdockspread.store.ListResult
-import burdockspread.store.ObjectKey
 import burdockspread.store.StoredObject
 import burdockspread.store.WatchEvent
 import burdockspread.time.TimeSource
@@ -43,13 +42,16 @@
     private val timing: UpdateTiming = UpdateTiming(),
     private val listener: HostViewListener = HostViewListener.NONE,
 ) : KindListener {
-    private val journal = ChangeJournal(Random.nextLong())
+    /** Tells this process from earlier ones of the host. */
+    private val processId = Random.nextLong()
+    private val journal = ChangeJournal()
     private val directory = TargetDirectory { id, change -> onTargetState(id, change) }
     private val stored = HashMap<String, StoredObject>()
     private val watchStatuses = HashMap<String, WatchStatus>()
     private var catalogText = ""
     private val current = AtomicReference(HostView())
     private val changes = MutableStateFlow(0L)
+    private var changeCount = 0L
     private var published = -1L
     private val storeContact = StoreContact(timing.reportInterval)
 
@@ -66,9 +68,7 @@
         val now = onWatchActivity(kind, isCurrent = !listed.isCached)
         source = "list"
         if (kind == deployment.targetKind) {
-            listed.objects.forEach(::storeEntry)
-            val entries = listed.objects.mapNotNull(deployment::target)
-            directory.onListing(entries, listed.version, storeContact.keepUntil, now)
+            applyList(listed.objects, listed.version, now)
         } else {
             listed.objects.firstOrNull { it.key == deployment.catalogKey }?.let(::onCatalog)
         }
@@ -150,14 +150,11 @@
         }
     }
 
-    private fun hasUpdate(request: NewsRequest): Boolean {
-        val targets = journal.changedSince(request.journalId, request.journalPosition)
-        val newer = targets?.isNotEmpty() ?: (directory.version > request.targetsVersion)
-        return newer ||
+    private fun hasUpdate(request: NewsRequest): Boolean =
+        directory.version > request.targetsVersion ||
             (view.catalog?.version ?: 0) > request.catalogVersion ||
-            request.journalId != journal.id ||
+            request.processId != processId ||
             heardAt().toEpochMilliseconds() > request.heardAtMillis
-    }
 
     /** Returns what this host knows beyond [request], which arrived at [receivedAt]. */
     public fun reply(
@@ -173,37 +170,61 @@
         reply.catalogVersion = version
         if (version > request.catalogVersion) reply.catalog = catalogText
         reply.targetsVersion = directory.version
-        reply.journalId = journal.id
-        reply.journalPosition = journal.position
-        val changed = journal.changedSince(request.journalId, request.journalPosition)
+        reply.processId = processId
+        val changed = journal.changedSince(request.targetsVersion)
         if (changed != null) {
             reply.changesOnly = true
-            changed.forEach { reply.addTargets(change(it)) }
+            changed.forEach { (id, version) ->
+                reply.addTargets(stored[id.value]?.toNews() ?: removalNews(id, version))
+            }
         } else if (directory.version > request.targetsVersion) {
             directory.confirmed().mapNotNull { stored[it.value] }
-                .forEach { reply.addTargets(targetNews(it)) }
+                .forEach { reply.addTargets(it.toNews()) }
         }
         return reply.build()
     }
 
-    /** Applies the reply of [peer] to a request that was sent at [sentAt]. */
-    public fun onReply(peer: String, reply: NewsReply, sentAt: Instant) {
+    /** Applies the reply of [peer] to [request], which was sent at [sentAt]. */
+    public fun onReply(peer: String, request: NewsRequest, reply: NewsReply, sentAt: Instant) {
         val now = clock.now()
         source = "peer $peer"
-        onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
         if (reply.catalog.isNotEmpty()) applyCatalog(reply.catalog, reply.catalogVersion, "peer")
-        val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
-        val objects = present.map(::storedTarget)
-        objects.forEach(::storeEntry)
-        if (reply.changesOnly) {
-            onChanges(objects, removed, reply.targetsVersion, now)
-        } else if (reply.targetsVersion > directory.version) {
-            val entries = objects.mapNotNull(deployment::target)
-            directory.onListing(entries, reply.targetsVersion, storeContact.keepUntil, now)
+        if (applyTargets(request, reply, now)) {
+            onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
         }
         publish(now)
     }
 
+    /**
+     * Returns whether the targets are at least as current as those of the peer. Changes since the
+     * requested version are incomplete if this host has learned more from elsewhere meanwhile.
+     */
+    private fun applyTargets(request: NewsRequest, reply: NewsReply, now: Instant): Boolean {
+        if (reply.targetsVersion <= directory.version) return true
+        val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
+        val objects = present.map { it.toStored(deployment.targetKind) }
+        if (!reply.changesOnly) {
+            applyList(objects, reply.targetsVersion, now)
+            return true
+        }
+        if (request.targetsVersion != directory.version) return false
+        onChanges(objects, removed, reply.targetsVersion, now)
+        return true
+    }
+
+    private fun applyList(objects: List<StoredObject>, version: Long, now: Instant) {
+        val before = directory.version
+        if (version < before) return
+        val known = directory.confirmed()
+        objects.forEach(::storeEntry)
+        val entries = objects.mapNotNull(deployment::target)
+        directory.onListing(entries, version, storeContact.keepUntil, now)
+        journal.onList(before, version)
+        objects.filter { it.version > before }
+            .forEach { journal.record(TargetId(it.key.name), it.version) }
+        (known - directory.confirmed()).forEach { journal.record(it, version) }
+    }
+
     private fun onPeerHeard(at: Instant) {
         if (at > peerHeardAt) peerHeardAt = at
         storeContact.onHeard(at)
@@ -215,6 +236,9 @@
         version: Long,
         now: Instant,
     ) {
+        present.forEach(::storeEntry)
+        present.forEach { journal.record(TargetId(it.key.name), it.version) }
+        removed.forEach { journal.record(TargetId(it.name), it.version) }
         val changes = present.mapNotNull { stored ->
             deployment.target(stored)?.let { TargetChange(it.id, it, stored.version) }
         }
@@ -246,18 +270,22 @@
 
     private fun onDeleted(event: WatchEvent.Deleted, now: Instant) {
         if (event.key.kind != deployment.targetKind) return
+        if (event.version <= directory.version) return
         val id = TargetId(event.key.name)
+        journal.record(id, event.version)
         directory.onRemoved(id, event.version, storeContact.keepUntil, now)
     }
 
     private fun onTargetState(id: TargetId, change: DirectoryChange) {
-        journal.record(id)
+        changeCount++
         val update = ViewUpdate(directory.version, source, age(clock.now()))
         listener.onTargetState(id, change, update)
     }
 
     private fun onTarget(value: StoredObject, now: Instant) {
+        if (value.version <= directory.version) return
         storeEntry(value)
+        journal.record(TargetId(value.key.name), value.version)
         val entry = deployment.target(value)
         if (entry == null) {
             // An entry that another writer has made unreadable names no usable target.
@@ -292,32 +320,16 @@
 
     private fun publish(now: Instant) {
         val before = view
-        val isUnchanged = journal.position == published
+        val isUnchanged = changeCount == published
         val targets = if (isUnchanged) before.directory else directory.view()
         val direct = isWatchCurrent(deployment.catalogKey.kind, now)
         val isConfirmed = direct || now - peerHeardAt <= timing.maxAge
         current.set(before.copy(directory = targets, isConfirmed = isConfirmed))
         if (!isUnchanged) stored.keys.retainAll(directory.confirmed().map { it.value }.toSet())
-        published = journal.position
+        published = changeCount
         changes.value++
     }
 
-    private fun change(id: TargetId): TargetNews = stored[id.value]?.let(::targetNews)
-        ?: TargetNews.newBuilder().setName(id.value).setVersion(directory.version).build()
-
-    private fun targetNews(value: StoredObject): TargetNews = TargetNews.newBuilder()
-        .setName(value.key.name)
-        .setEntry(value.value)
-        .setVersion(value.version)
-        .build()
-
-    private fun storedTarget(targetNews: TargetNews): StoredObject = StoredObject(
-        ObjectKey(deployment.targetKind, targetNews.name),
-        targetNews.version,
-        "",
-        targetNews.entry,
-    )
-
     private class WatchStatus {
         var isLost = false
         var heardAt: Instant = Instant.DISTANT_PAST
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -91,8 +91,7 @@
     public suspend fun pull(peer: String, wait: Duration = Duration.ZERO): Boolean? {
         val request = viewUpdater.request(host, ownAddress).toBuilder()
         lastReplies[peer]?.let {
-            request.setJournalId(it.journalId).setJournalPosition(it.journalPosition)
-                .setHeardAtMillis(it.heardAtMillis)
+            request.setProcessId(it.processId).setHeardAtMillis(it.heardAtMillis)
         }
         request.waitMillis = wait.inWholeMilliseconds.toInt()
         val call = CallRequest("POST", PATH, request.build().toByteArray(), PROTOBUF)
@@ -100,7 +99,7 @@
         val reply = read(peer, calls.call(peer, call, wait + CALL_TIMEOUT)) ?: return null
         lastReplies[peer] = reply.toBuilder().clearTargets().clearCatalog().clearPeers().build()
         reply.peersList.forEach(::onPeer)
-        viewUpdater.onReply(peer, reply, sentAt)
+        viewUpdater.onReply(peer, request.build(), reply, sentAt)
         return reply.confirmed
     }
 
--- /dev/null
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/TargetNewsCodec.kt
@@ -0,0 +1,20 @@
+/** Conversion of targets between the store's form and that of messages to peers. */
+package burdockspread.forward.news
+
+import burdockspread.id.TargetId
+import burdockspread.store.ObjectKey
+import burdockspread.store.StoredObject
+import burdockspread.wire.forward.TargetNews
+
+internal fun StoredObject.toNews(): TargetNews = TargetNews.newBuilder()
+    .setName(key.name)
+    .setEntry(value)
+    .setVersion(version)
+    .build()
+
+internal fun removalNews(id: TargetId, version: Long): TargetNews =
+    TargetNews.newBuilder().setName(id.value).setVersion(version).build()
+
+/** Returns the entry as an object of [kind]. */
+internal fun TargetNews.toStored(kind: String): StoredObject =
+    StoredObject(ObjectKey(kind, name), version, "", entry)
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -74,8 +74,7 @@
         follow()
         updater.onUnavailable("settings", "no answer")
         updater.onUnavailable("targets", "no answer")
-        val reply = peer.reply(updater.request("h2", "10.0.0.2:70"), now, listOf("10.0.0.3:70"))
-        updater.onReply("relay", reply, now)
+        updater.pullFrom(peer)
         assertEquals(7, updater.view.catalog?.version)
         assertEquals(listOf("a"), usableTargets())
         assertTrue(updater.view.isConfirmed)
@@ -86,17 +85,15 @@
         val relay = HostViewUpdater(TextDeployment, { now })
         relay.onListed("settings", listed(5, catalog(7)))
         relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
-        val first = relay.reply(updater.request("h2", "10.0.0.2:70"), now, emptyList())
-        updater.onReply("relay", first, now)
+        updater.pullFrom(relay)
         assertEquals(listOf("a", "b"), usableTargets().sorted())
         relay.onEvent("targets", WatchEvent.Put(target("c", 8)))
         relay.onEvent("targets", WatchEvent.Deleted(ObjectKey("targets", "a"), 9))
-        val next = relay.reply(followOn(first), now, emptyList())
+        val next = updater.pullFrom(relay)
         assertTrue(next.changesOnly)
         assertEquals(setOf("a", "c"), next.targetsList.map { it.name }.toSet())
-        updater.onReply("relay", next, now)
         assertEquals(listOf("b", "c"), usableTargets().sorted())
-        assertEquals(0, relay.reply(followOn(next), now, emptyList()).targetsCount)
+        assertEquals(0, updater.pullFrom(relay).targetsCount)
     }
 
     @Test
@@ -104,14 +101,12 @@
         val relay = HostViewUpdater(TextDeployment, { now })
         relay.onListed("settings", listed(5, catalog(7)))
         relay.onListed("targets", listed(6, target("a", 6)))
-        val first = relay.reply(updater.request("h2", "10.0.0.2:70"), now, emptyList())
-        updater.onReply("relay", first, now)
+        updater.pullFrom(relay)
         updater.onListed("targets", listed(20, target("b", 19)))
         now += 3.seconds
         updater.tick()
         relay.onEvent("targets", WatchEvent.Put(target("a", 8)))
-        val late = relay.reply(followOn(first), now, emptyList())
-        updater.onReply("relay", late, now)
+        updater.pullFrom(relay)
         assertEquals(listOf("b"), usableTargets())
     }
 
@@ -169,12 +164,10 @@
         val relay = HostViewUpdater(TextDeployment, { now })
         relay.onListed("settings", listed(5, catalog(7)))
         relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
-        val first = relay.reply(updater.request("h2", "10.0.0.2:70"), now, emptyList())
-        updater.onReply("relay", first, now)
+        updater.pullFrom(relay)
         relay.onWatchEnded("targets", "status 410")
         relay.onListed("targets", listed(9, target("b", 6)))
-        val next = relay.reply(followOn(first), now, emptyList())
-        updater.onReply("relay", next, now)
+        updater.pullFrom(relay)
         now += 20.seconds
         updater.tick()
         assertEquals(listOf("b"), usableTargets())
@@ -187,26 +180,68 @@
         val hosts = listOf(peer, updater)
         hosts.forEach { it.onListed("settings", listed(5, catalog(7))) }
         hosts.forEach { it.onListed("targets", listed(6, target("a", 6), target("b", 6))) }
-        val before = hosts.map { it.reply(it.request("h", "10.0.0.9:70"), now, emptyList()) }
         hosts.forEach { it.onUnavailable("targets", "no answer") }
         now += 4.seconds
         hosts.forEach { it.onUnavailable("targets", "no answer") }
         hosts.forEach { it.onListed("targets", listed(9, target("b", 6))) }
         assertEquals(listOf("a", "b"), usableTargets().sorted())
-        updater.onReply("peer", peer.reply(followOn(before[0]), now, emptyList()), now)
-        peer.onReply("other", updater.reply(followOn(before[1]), now, emptyList()), now)
+        updater.pullFrom(peer)
+        peer.pullFrom(updater)
         now += 2.seconds
         hosts.forEach { it.tick() }
         assertEquals(listOf("b"), usableTargets())
     }
 
+    // Guards against a removal that a relay never saw, as it listed before and after that target.
+    @Test
+    fun `a follower drops a target that its relay has never known`() {
+        val relay = HostViewUpdater(TextDeployment, { now })
+        relay.onListed("settings", listed(5, catalog(7)))
+        relay.onListed("targets", listed(6, target("a", 6)))
+        updater.pullFrom(relay)
+        updater.onEvent("targets", WatchEvent.Put(target("b", 8)))
+        relay.onWatchEnded("targets", "status 410")
+        relay.onListed("targets", listed(10, target("a", 6)))
+        updater.pullFrom(relay)
+        assertEquals(listOf("a"), usableTargets())
+    }
+
+    // Guards against a target that returned unchanged while its relay was listing anew.
+    @Test
+    fun `a follower learns of a target that returned with the same entry`() {
+        val relay = HostViewUpdater(TextDeployment, { now })
+        relay.onListed("settings", listed(5, catalog(7)))
+        relay.onListed("targets", listed(6, target("a", 6)))
+        updater.pullFrom(relay)
+        updater.onEvent("targets", WatchEvent.Deleted(ObjectKey("targets", "a"), 8))
+        relay.onListed("targets", listed(10, target("a", 9)))
+        updater.pullFrom(relay)
+        assertEquals(listOf("a"), usableTargets())
+    }
+
+    // Guards against changes that are incomplete since the host learned of others meanwhile.
+    @Test
+    fun `changes since an older version do not make a host current`() {
+        val relay = HostViewUpdater(TextDeployment, { now })
+        relay.onListed("settings", listed(5, catalog(7)))
+        relay.onListed("targets", listed(6, target("a", 6)))
+        updater.pullFrom(relay)
+        val request = updater.request("h2", "10.0.0.2:70")
+        updater.onEvent("targets", WatchEvent.Put(target("b", 8)))
+        relay.onListed("targets", listed(10, target("a", 6)))
+        updater.onReply("relay", request, relay.reply(request, now, emptyList()), now)
+        assertEquals(listOf("a", "b"), usableTargets().sorted())
+        updater.pullFrom(relay)
+        assertEquals(listOf("a"), usableTargets())
+    }
+
     // Guards against a host that trusts its view for ever after one malformed reply.
     @Test
     fun `a peer cannot confirm a view in advance`() {
         follow()
         updater.onWatchEnded("targets", "no answer")
         val reply = NewsReply.newBuilder().setHeardAfterMillis(60_000).build()
-        updater.onReply("peer", reply, now)
+        updater.onReply("peer", updater.request("h2", "10.0.0.2:70"), reply, now)
         now += 10.seconds
         assertEquals(10.seconds, updater.age(now))
     }
@@ -215,7 +250,7 @@
     fun `a request that knows an earlier process of the peer is answered at once`() = runTest {
         follow()
         val reply = updater.reply(updater.request("h2", "10.0.0.2:70"), now, emptyList())
-        val request = followOn(reply).toBuilder().setJournalId(reply.journalId + 1).build()
+        val request = followOn(reply).toBuilder().setProcessId(reply.processId + 1).build()
         val waiting = async { updater.awaitUpdate(request) }
         runCurrent()
         assertTrue(waiting.isCompleted)
@@ -241,12 +276,19 @@
     private fun followOn(reply: NewsReply): NewsRequest = NewsRequest.newBuilder()
         .setCatalogVersion(reply.catalogVersion)
         .setTargetsVersion(reply.targetsVersion)
-        .setJournalId(reply.journalId)
-        .setJournalPosition(reply.journalPosition)
+        .setProcessId(reply.processId)
         .setHeardAtMillis(reply.heardAtMillis)
         .setWaitMillis(1_000)
         .build()
 
+    /** Asks [peer] for what it knows beyond this host, and applies its reply. */
+    private fun HostViewUpdater.pullFrom(peer: HostViewUpdater): NewsReply {
+        val request = request("h2", "10.0.0.2:70")
+        val reply = peer.reply(request, now, emptyList())
+        onReply("peer", request, reply, now)
+        return reply
+    }
+
     private fun usableTargets() = updater.view.directory.services.values.flatten().map {
         it.entry.id.value
     }
