Judge an outage before a peer's changes are applied

Failed before: HostViewUpdaterTest "a follower judges by itself whether a removed entry may have expired" (was [b], not [a, b]). Now the confirmation comes first.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -44,13 +44,17 @@
 ) : KindListener {
     /** Tells this process from earlier ones of the host. */
     private val processId = Random.nextLong()
-    private val journal = ChangeJournal()
     private val directory = TargetDirectory { id, change -> onTargetState(id, change) }
+    private val journal = ChangeJournal()
+
+    /** The confirmed entries as stored, by name. */
     private val stored = HashMap<String, StoredObject>()
     private val watchStatuses = HashMap<String, WatchStatus>()
     private var catalogText = ""
     private val current = AtomicReference(HostView())
     private val changes = MutableStateFlow(0L)
+
+    /** Changes of [directory] so far, and how many of them [view] shows. */
     private var changeCount = 0L
     private var published = -1L
     private val storeContact = StoreContact(timing.reportInterval)
@@ -189,27 +193,24 @@
         val now = clock.now()
         source = "peer $peer"
         if (reply.catalog.isNotEmpty()) applyCatalog(reply.catalog, reply.catalogVersion, "peer")
-        if (applyTargets(request, reply, now)) {
+        val isNewer = reply.targetsVersion > directory.version
+        // Changes are incomplete if this host has learned more from elsewhere meanwhile.
+        val isOutrun = reply.changesOnly && request.targetsVersion != directory.version
+        if (!isNewer || !isOutrun) {
             onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
+            if (isNewer) applyTargets(reply, now)
         }
         publish(now)
     }
 
-    /**
-     * Returns whether the targets are at least as current as those of the peer. Changes since the
-     * requested version are incomplete if this host has learned more from elsewhere meanwhile.
-     */
-    private fun applyTargets(request: NewsRequest, reply: NewsReply, now: Instant): Boolean {
-        if (reply.targetsVersion <= directory.version) return true
+    private fun applyTargets(reply: NewsReply, now: Instant) {
         val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
         val objects = present.map { it.toStored(deployment.targetKind) }
-        if (!reply.changesOnly) {
+        if (reply.changesOnly) {
+            onChanges(objects, removed, reply.targetsVersion, now)
+        } else {
             applyList(objects, reply.targetsVersion, now)
-            return true
         }
-        if (request.targetsVersion != directory.version) return false
-        onChanges(objects, removed, reply.targetsVersion, now)
-        return true
     }
 
     private fun applyList(objects: List<StoredObject>, version: Long, now: Instant) {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -192,6 +192,24 @@
         assertEquals(listOf("b"), usableTargets())
     }
 
+    // Guards against live targets that a host drops on the word of the relay that returned first.
+    @Test
+    fun `a follower judges by itself whether a removed entry may have expired`() {
+        val relay = HostViewUpdater(TextDeployment, { now })
+        relay.onListed("settings", listed(5, catalog(7)))
+        relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
+        updater.pullFrom(relay)
+        now += 4.seconds
+        updater.onUnavailable("targets", "no answer")
+        relay.onListed("settings", listed(5, catalog(7)))
+        relay.onListed("targets", listed(9, target("b", 6)))
+        updater.pullFrom(relay)
+        assertEquals(listOf("a", "b"), usableTargets().sorted())
+        now += 2.seconds
+        updater.tick()
+        assertEquals(listOf("b"), usableTargets())
+    }
+
     // Guards against a removal that a relay never saw, as it listed before and after that target.
     @Test
     fun `a follower drops a target that its relay has never known`() {
