--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -82,9 +82,7 @@
 
     @Test
     fun `a follower receives only changes and removes deleted targets`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
+        val relay = hostThatKnows("a", "b")
         updater.pullFrom(relay)
         assertEquals(listOf("a", "b"), usableTargets().sorted())
         relay.onEvent("targets", WatchEvent.Put(target("c", 8)))
@@ -98,9 +96,7 @@
 
     @Test
     fun `a stale relay does not restore a removed target`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6)))
+        val relay = hostThatKnows("a")
         updater.pullFrom(relay)
         updater.onListed("targets", listed(20, target("b", 19)))
         now += 3.seconds
@@ -161,9 +157,7 @@
     // Guards against a follower that kept a removed target since its relay told the old entry.
     @Test
     fun `a follower drops a target that left before its relay listed again`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
+        val relay = hostThatKnows("a", "b")
         updater.pullFrom(relay)
         relay.onWatchEnded("targets", "status 410")
         relay.onListed("targets", listed(9, target("b", 6)))
@@ -195,9 +189,7 @@
     // Guards against live targets that a host drops on the word of the relay that returned first.
     @Test
     fun `a follower judges by itself whether a removed entry may have expired`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6), target("b", 6)))
+        val relay = hostThatKnows("a", "b")
         updater.pullFrom(relay)
         now += 4.seconds
         updater.onUnavailable("targets", "no answer")
@@ -213,9 +205,7 @@
     // Guards against a removal that a relay never saw, as it listed before and after that target.
     @Test
     fun `a follower drops a target that its relay has never known`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6)))
+        val relay = hostThatKnows("a")
         updater.pullFrom(relay)
         updater.onEvent("targets", WatchEvent.Put(target("b", 8)))
         relay.onWatchEnded("targets", "status 410")
@@ -227,9 +217,7 @@
     // Guards against a target that returned unchanged while its relay was listing anew.
     @Test
     fun `a follower learns of a target that returned with the same entry`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6)))
+        val relay = hostThatKnows("a")
         updater.pullFrom(relay)
         updater.onEvent("targets", WatchEvent.Deleted(ObjectKey("targets", "a"), 8))
         relay.onListed("targets", listed(10, target("a", 9)))
@@ -240,9 +228,7 @@
     // Guards against changes that are incomplete since the host learned of others meanwhile.
     @Test
     fun `changes since an older version do not make a host current`() {
-        val relay = HostViewUpdater(TextDeployment, { now })
-        relay.onListed("settings", listed(5, catalog(7)))
-        relay.onListed("targets", listed(6, target("a", 6)))
+        val relay = hostThatKnows("a")
         updater.pullFrom(relay)
         val request = updater.request("h2", "10.0.0.2:70")
         updater.onEvent("targets", WatchEvent.Put(target("b", 8)))
@@ -299,6 +285,13 @@
         .setWaitMillis(1_000)
         .build()
 
+    /** Returns a host that has listed a configuration and the targets [names] at version 6. */
+    private fun hostThatKnows(vararg names: String) =
+        HostViewUpdater(TextDeployment, { now }).apply {
+            onListed("settings", listed(5, catalog(7)))
+            onListed("targets", listed(6, *names.map { target(it, 6) }.toTypedArray()))
+        }
+
     /** Asks [peer] for what it knows beyond this host, and applies its reply. */
     private fun HostViewUpdater.pullFrom(peer: HostViewUpdater): NewsReply {
         val request = request("h2", "10.0.0.2:70")
