--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/ChangeJournal.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/ChangeJournal.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.id.TargetId
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
 
 /**
@@ -25,9 +26,13 @@
     /** Version from which on all changes are known, or null before the first list. */
     private var start: Long? = null
 
+    /** Highest version of a change, so that a current reader costs no search. */
+    private var latest = 0L
+
     /** Records that [target] was put or removed at [version]. */
     public fun record(target: TargetId, version: Long) {
         changes.addLast(Change(target, version))
+        latest = maxOf(latest, version)
         if (changes.size > capacity) startAt(changes.removeFirst().version)
     }
 
@@ -47,6 +52,7 @@
     public fun changedSince(version: Long): ImmutableMap<TargetId, Long>? {
         val first = start ?: return null
         if (version < first || gaps.any { version in it }) return null
+        if (version >= latest) return persistentMapOf()
         return changes.filter { it.version > version }
             .groupBy({ it.target }, { it.version })
             .mapValues { (_, versions) -> versions.max() }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -168,8 +168,9 @@
     ): NewsReply {
         val reply = NewsReply.newBuilder().addAllPeers(peers)
         reply.confirmed = isFollowingStore(clock.now())
-        reply.heardAfterMillis = (heardAt() - receivedAt).inWholeMilliseconds
-        reply.heardAtMillis = heardAt().toEpochMilliseconds()
+        val heardAt = heardAt()
+        reply.heardAfterMillis = (heardAt - receivedAt).inWholeMilliseconds
+        reply.heardAtMillis = heardAt.toEpochMilliseconds()
         val version = view.catalog?.version ?: 0
         reply.catalogVersion = version
         if (version > request.catalogVersion) reply.catalog = catalogText
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -36,8 +36,8 @@
 ) {
     private val peers = LinkedHashSet<String>(seeds - ownAddress)
 
-    /** The last replies of the peers, without what they told. */
-    private val lastReplies = HashMap<String, NewsReply>()
+    /** What each peer's last reply said of the peer, for the next request to echo. */
+    private val lastHeard = HashMap<String, LastHeard>()
 
     /** Returns the addresses of the known hosts, including this one. */
     public fun knownAddresses(): List<String> = peers.take(MAX_SHARED_PEERS) + ownAddress
@@ -55,7 +55,7 @@
         if (addresses.isNotEmpty()) {
             peers.clear()
             addresses.forEach(::onPeer)
-            lastReplies.keys.retainAll(peers)
+            lastHeard.keys.retainAll(peers)
         }
     }
 
@@ -90,14 +90,14 @@
     /** Pulls what [peer] knows beyond this host; returns null if it did not answer. */
     public suspend fun pull(peer: String, wait: Duration = Duration.ZERO): Boolean? {
         val request = viewUpdater.request(host, ownAddress).toBuilder()
-        lastReplies[peer]?.let {
+        lastHeard[peer]?.let {
             request.setProcessId(it.processId).setHeardAtMillis(it.heardAtMillis)
         }
         request.waitMillis = wait.inWholeMilliseconds.toInt()
         val call = CallRequest("POST", PATH, request.build().toByteArray(), PROTOBUF)
         val sentAt = clock.now()
         val reply = read(peer, calls.call(peer, call, wait + CALL_TIMEOUT)) ?: return null
-        lastReplies[peer] = reply.toBuilder().clearTargets().clearCatalog().clearPeers().build()
+        lastHeard[peer] = LastHeard(reply.processId, reply.heardAtMillis)
         reply.peersList.forEach(::onPeer)
         viewUpdater.onReply(peer, request.build(), reply, sentAt)
         return reply.confirmed
@@ -118,7 +118,7 @@
 
     private fun read(peer: String, result: CallResult): NewsReply? {
         if (result !is CallResult.Response || result.status != OK) {
-            lastReplies -= peer
+            lastHeard -= peer
             return null
         }
         return try {
@@ -129,6 +129,8 @@
         }
     }
 
+    private class LastHeard(val processId: Long, val heardAtMillis: Long)
+
     public companion object {
         /** Path of update requests at a host's peer address. */
         public const val PATH: String = "/peer/news"
