Log and count how callers' connections end

The end of a caller's connection was not logged, whoever closed it, so that a request lost with an idle connection, with a draining one and with the host's exit looked the same. Each end is now one line caller_connection_closed with its reason and what was on the connection, a warning if a request is lost with it, and is counted by reason. A request that arrives after the end was decided has its own line. No change of logic: what ends a connection, and how, is as before.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -9,6 +9,7 @@
 import burdockspread.forward.exchange.Call
 import burdockspread.forward.exchange.ExchangeEffect
 import burdockspread.forward.exchange.ExchangeListener
+import burdockspread.forward.http.CallerConnectionEnd
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.log.LogRateLimiter
 import burdockspread.forward.news.HostViewListener
@@ -156,6 +157,30 @@
             .with("detail", refusal.detail)
             .info(requestLimiter)
 
+    /** Logs the end of a caller's connection; a warning if a request was lost with it. */
+    fun onCallerConnectionEnded(end: CallerConnectionEnd) {
+        val cause = end.cause?.let { "${it::class.qualifiedName}: ${it.message}" }
+        val event = stateEvent("caller_connection_closed")
+            .with("reason", end.reason.name.lowercase())
+            .with("cause", cause.orEmpty())
+            .with("state", end.state.name.lowercase())
+            .with("caller", end.caller)
+            .with("request", end.requestId.orEmpty())
+            .with("answered", end.answered.toString())
+            .with("unfinished_bytes", end.unfinishedBytes.toString())
+            .with("pipelined_messages", end.pipelinedMessages.toString())
+            .with("idle_ms", end.idle.inWholeMilliseconds.toString())
+            .with("limit_ms", end.limit.inWholeMilliseconds.toString())
+        if (end.dropsRequest) event.warn() else event.info(requestLimiter)
+    }
+
+    /** Logs a request that arrived after its connection's end for [reason] was decided. */
+    fun onCallerRequestDropped(id: String?, reason: String): Unit =
+        stateEvent("caller_request_dropped")
+            .with("request", id.orEmpty())
+            .with("reason", reason)
+            .warn()
+
     /** Logs an unexpected exception, which ended the request with [id]. */
     fun onInternalError(id: String, cause: Exception): Unit = stateEvent("internal_error")
         .with("request", id)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -8,6 +8,7 @@
 import burdockspread.forward.exchange.Call
 import burdockspread.forward.exchange.ExchangeEffect
 import burdockspread.forward.exchange.ExchangeListener
+import burdockspread.forward.http.CallerConnectionEnd
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.news.HostViewListener
 import burdockspread.forward.news.ViewUpdate
@@ -127,6 +128,20 @@
         delegate.onRequestRejected(id, path, refusal)
     }
 
+    /** Counts the end of a caller's connection. */
+    fun onCallerConnectionEnded(end: CallerConnectionEnd) {
+        val reason = end.reason.name.lowercase()
+        count("burdock_forward_caller_connections_closed_total", "reason", reason)
+        delegate.onCallerConnectionEnded(end)
+    }
+
+    /** Counts a request that arrived after the end of its connection was decided. */
+    fun onCallerRequestDropped(id: String?, reason: CallerConnectionEnd.Reason) {
+        val name = reason.name.lowercase()
+        count("burdock_forward_caller_requests_dropped_total", "reason", name)
+        delegate.onCallerRequestDropped(id, name)
+    }
+
     /** Counts an unexpected exception, which ended the request with [id]. */
     fun onInternalError(id: String, cause: Exception) {
         count("burdock_forward_internal_errors_total")
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -6,10 +6,12 @@
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.CallerLimits
 import burdockspread.forward.exchange.Call
+import burdockspread.forward.exchange.CallerFields
 import burdockspread.forward.exchange.Exchange
 import burdockspread.forward.exchange.RequestRouter
 import burdockspread.forward.http.BufferedRequest
 import burdockspread.forward.http.CallerConnection
+import burdockspread.forward.http.CallerConnectionEnd
 import burdockspread.forward.http.CallerConnectionListener
 import burdockspread.forward.http.CallerDecoder
 import burdockspread.forward.http.CallerHandler
@@ -23,6 +25,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpVersion
 import kotlin.time.Duration.Companion.milliseconds
@@ -65,10 +68,11 @@
     }
 
     fun onConnection(channel: SocketChannel) {
+        val decoder = CallerDecoder(limits().maxHeaderBytes)
         channel.pipeline().addLast(
             HttpResponseEncoder(),
-            CallerDecoder(limits().maxHeaderBytes),
-            CallerConnection(this, clock::now, callers),
+            decoder,
+            CallerConnection(this, clock::now, callers, decoder),
         )
     }
 
@@ -80,6 +84,7 @@
     /** Ends all open requests. Must be called on the request loop. */
     fun endAll() {
         pools.all.flatMap { it.running.values.toList() }.forEach(ExchangeRunner::onStop)
+        callers.forEach { it.onStopped(clock.now()) }
     }
 
     override fun limits(): CallerLimits = view().catalog?.limits ?: FALLBACK_LIMITS
@@ -88,6 +93,14 @@
 
     override fun onRejected(refusal: Refusal): Unit = metrics.onRequestRejected(null, "", refusal)
 
+    override fun requestId(head: HttpRequest): String? = callerFields(head).id
+
+    override fun onConnectionEnded(end: CallerConnectionEnd): Unit =
+        metrics.onCallerConnectionEnded(end)
+
+    override fun onRequestDropped(id: String?, reason: CallerConnectionEnd.Reason): Unit =
+        metrics.onCallerRequestDropped(id, reason)
+
     override fun onRequest(
         request: BufferedRequest,
         writer: ResponseWriter,
@@ -106,10 +119,7 @@
         val now = clock.now()
         val snapshot = view()
         pools.apply(snapshot, now)
-        val head = request.head
-        val host = head.headers()["Host"].substringBefore(':').lowercase()
-        val path = head.uri().substringBefore('?')
-        val fields = deployment.protocol.callerFields(host, path) { head.headers()[it] }
+        val fields = callerFields(request.head)
         val resolved = router.resolve(
             fields,
             snapshot.catalog,
@@ -118,13 +128,19 @@
         )
         val refusal = resolved.fold({ it }, { drainRefusal(it, now) })
         if (refusal != null) {
-            metrics.onRequestRejected(fields.id, path, refusal)
+            metrics.onRequestRejected(fields.id, fields.path, refusal)
             writer.refuse(refusal)
             return IgnoringListener
         }
         return run((resolved as Either.Right).value, request, writer)
     }
 
+    private fun callerFields(head: HttpRequest): CallerFields {
+        val host = head.headers()["Host"].orEmpty().substringBefore(':').lowercase()
+        val path = head.uri().substringBefore('?')
+        return deployment.protocol.callerFields(host, path) { head.headers()[it] }
+    }
+
     private fun run(
         call: Call,
         request: BufferedRequest,
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -3,14 +3,16 @@
 
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
-import burdockspread.forward.catalog.CallerLimits
 import burdockspread.forward.exchange.ResponseHead
+import burdockspread.forward.http.CallerConnectionEnd.Reason
+import burdockspread.forward.http.CallerConnectionEnd.State
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -33,58 +35,15 @@
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
-/** Handles buffered requests of callers. */
-public interface CallerHandler {
-    /** Limits on callers' requests from the newest configuration. */
-    public fun limits(): CallerLimits
-
-    /** Called with a complete request. The response goes to [writer]. */
-    public fun onRequest(request: BufferedRequest, writer: ResponseWriter): CallerConnectionListener
-
-    /** Called when a request was refused before it was read completely. */
-    public fun onRejected(refusal: Refusal) {}
-
-    /** Whether the host is draining, so that connections close after their current response. */
-    public fun isDraining(): Boolean
-}
-
-/** A request that was read completely. */
-public class BufferedRequest(
-    public val head: HttpRequest,
-    public val body: ByteArray,
-    public val startedAt: Instant,
-)
-
-/** Receives the events of the caller's connection while a request is handled. */
-public interface CallerConnectionListener {
-    /** Called when the caller closed its connection. */
-    public fun onCallerGone()
-
-    /** Called when the caller starts or stops reading as fast as the response arrives. */
-    public fun onWritable(writable: Boolean)
-}
-
-/** Writes one response to a caller. */
-public interface ResponseWriter {
-    public fun begin(head: ResponseHead, length: Int?)
-
-    public fun body(bytes: ByteArray)
-
-    public fun end()
-
-    public fun refuse(refusal: Refusal)
-
-    /** Closes the connection so that the response cannot be mistaken for a complete one. */
-    public fun abort()
-}
-
 /** Reads one request at a time and queues pipelined ones. Confined to the channel's event loop. */
 internal class CallerConnection(
     private val handler: CallerHandler,
     private val now: () -> Instant,
     private val connections: MutableSet<CallerConnection>,
+    private val decoder: CallerDecoder,
 ) : SimpleChannelInboundHandler<HttpObject>(false) {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var caller: String
     private val pipelined = ArrayDeque<HttpObject>()
     private var head: HttpRequest? = null
     private var startedAt: Instant = now()
@@ -93,9 +52,17 @@
     private var isResponding = false
     private var isClosing = false
     private var idleSince: Instant = now()
+    private var answered = 0
+
+    /** Caller's id of the request that is being read or answered. */
+    private var requestId: String? = null
+
+    /** Why the connection ends; null until that is decided. */
+    private var endReason: Reason? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
+        caller = context.channel().remoteAddress().toString().removePrefix("/")
         connections += this
     }
 
@@ -104,7 +71,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (isClosing) return discard(message)
+        if (isClosing) return drop(message)
         if (isResponding) {
             pipelined.addLast(message)
             if (pipelined.size > MAX_PIPELINED) context.channel().config().isAutoRead = false
@@ -118,17 +85,56 @@
         val limits = handler.limits()
         when {
             isResponding || isClosing -> Unit
-            head == null && handler.isDraining() -> close()
-            head == null && at - idleSince > limits.idleTimeout -> close()
-            head != null && at - startedAt > limits.headerTimeout + BODY_READ_TIMEOUT ->
+            head == null && handler.isDraining() -> close(Reason.DRAINING, at)
+            head == null && at - idleSince > limits.idleTimeout -> close(Reason.IDLE, at)
+            head != null && at - startedAt > limits.headerTimeout + BODY_READ_TIMEOUT -> {
+                recordEnd(Reason.REQUEST_TIMEOUT, at, limits.headerTimeout + BODY_READ_TIMEOUT)
                 reject(Refusal(ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"))
+            }
         }
     }
 
+    /** Records that the host exits, which ends the connection. */
+    fun onStopped(at: Instant): Unit = recordEnd(Reason.STOPPED, at)
+
+    /** Reports the end of the connection unless one was reported before. */
+    private fun recordEnd(
+        reason: Reason,
+        at: Instant,
+        limit: Duration = handler.limits().idleTimeout,
+        cause: Throwable? = null,
+    ) {
+        if (endReason != null) return
+        endReason = reason
+        val state = state()
+        handler.onConnectionEnded(
+            CallerConnectionEnd(
+                reason = reason,
+                state = state,
+                caller = caller,
+                cause = cause,
+                answered = answered,
+                requestId = requestId,
+                unfinishedBytes = decoder.unfinishedBytes,
+                pipelinedMessages = pipelined.size,
+                idle = if (state == State.RESPONDING) Duration.ZERO else at - idleSince,
+                limit = limit,
+            ),
+        )
+    }
+
+    private fun state() = when {
+        isResponding -> State.RESPONDING
+        head != null -> State.BODY
+        decoder.unfinishedBytes > 0 -> State.HEAD
+        else -> State.IDLE
+    }
+
     private fun read(message: HttpObject) {
         val failure = message.decoderResult().cause()
         if (failure != null) {
             discard(message)
+            if (failure is PrematureChannelClosureException) recordEnd(Reason.CALLER_CLOSED, now())
             return reject(malformed(failure))
         }
         if (message is HttpRequest) onHead(message)
@@ -137,6 +143,7 @@
 
     private fun onHead(request: HttpRequest) {
         head = request
+        requestId = handler.requestId(request)
         startedAt = now()
         body = ByteArrayOutputStream()
         val transfer = request.headers().getAll("Transfer-Encoding")
@@ -175,6 +182,7 @@
     private fun readNext() {
         isResponding = false
         listener = null
+        requestId = null
         idleSince = now()
         if (isClosing) return
         while (!isResponding && !isClosing) read(pipelined.removeFirstOrNull() ?: break)
@@ -187,11 +195,20 @@
         ChannelResponseWriter(null).refuse(refusal)
     }
 
-    private fun close() {
+    private fun close(reason: Reason, at: Instant, cause: Throwable? = null) {
+        recordEnd(reason, at, cause = cause)
         isClosing = true
         context.close()
     }
 
+    private fun drop(message: HttpObject) {
+        val reason = endReason
+        if (message is HttpRequest && reason != null) {
+            handler.onRequestDropped(handler.requestId(message), reason)
+        }
+        discard(message)
+    }
+
     private fun discard(message: HttpObject) {
         if (message is HttpContent) message.release()
     }
@@ -204,6 +221,7 @@
     private fun tooLarge() = Refusal(ErrorCode.BODY_TOO_LARGE, "the body exceeds the limit")
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        recordEnd(Reason.CALLER_CLOSED, now())
         isClosing = true
         pipelined.forEach(::discard)
         pipelined.clear()
@@ -218,6 +236,7 @@
 
     @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        recordEnd(Reason.ERROR, now(), cause = cause)
         context.close()
     }
 
@@ -255,7 +274,9 @@
 
         override fun end() {
             val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+            answered++
             if (!keepAlive) {
+                recordEnd(Reason.RESPONSE_COMPLETE, now())
                 isClosing = true
                 written.addListener(ChannelFutureListener.CLOSE)
             }
@@ -271,6 +292,7 @@
             response.headers()["Content-Length"] = text.toByteArray().size
             refusal.retryAfter?.let { response.headers()["Retry-After"] = seconds(it) }
             start(response)
+            answered++
             if (!keepAlive) lingerAndClose()
             readNext()
         }
@@ -280,6 +302,7 @@
          * read the response.
          */
         private fun lingerAndClose() {
+            recordEnd(Reason.REFUSED, now())
             isClosing = true
             (context.channel() as? SocketChannel)?.shutdownOutput()
             val loop = context.channel().eventLoop()
@@ -287,7 +310,7 @@
         }
 
         override fun abort() {
-            close()
+            close(Reason.RESPONSE_ABORTED, now())
             readNext()
         }
 
