Take no conclusion about a caller's response from a target's silence

What callers saw: a stream that had begun was cut without its end, and a call ended with 502, though its target was sound and only silent for a second; with no free target, a call or resumable stream ended when its retry was refused. Cause: an unanswered probe abandoned the attempt for every kind of call, and silence cut the first attempt before another target was known to be available. Change: SilencePolicy is the one rule. A request that may be repeated may be taken over; the attempt at the silent target stays in flight until the other target is placed, keeps the request if it makes progress or the takeover is refused, and asks again after a further timeout. A request that may run once waits for its connection, the deadline, the caller or a stop; its target is no longer probed. A takeover that does not happen returns its retry (RetryBudget.release). The load policy ends the superseded attempt when it places the successor, never at the silent target itself, refuses at once if every target is avoided, and a queued takeover holds up no other request. The log has takeover_requested, takeover_withdrawn and silence_tolerated (once per attempt). Why it works: the only ways left from silence to an end of the response lead through a placed successor, which SilenceProperties checks for any schedule without a break.

No existing test changed its expectations; ExchangeProperties has a second property with queued placements.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/RetryTrial.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/routing/RetryTrial.kt
@@ -127,6 +127,8 @@
         override fun onFirstAttempt() = Unit
 
         override fun tryAcquire(): Boolean = true
+
+        override fun release() = Unit
     }
 
     companion object {
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -1,8 +1,6 @@
 /** The state of one attempt to send a request to a target. */
 package burdockspread.forward.exchange
 
-import burdockspread.forward.catalog.CallKind
-import burdockspread.forward.catalog.Route
 import burdockspread.forward.directory.TargetEntry
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
@@ -22,6 +20,9 @@
         private set
     private var progressMark = 0
     var lastProbedAt: Instant = sentAt
+
+    /** When a takeover was last requested or refused. */
+    var lastTakeoverRequestedAt: Instant = sentAt
     var head: ResponseHead? = null
 
     /** Whether the response being read belongs to another request; the expected one follows. */
@@ -30,9 +31,12 @@
     private var skippedBytes = 0
     private var skippedResponses = 0
 
-    /** Whether to wait for the target however long it is silent, since no retry is possible. */
+    /** Whether to wait for the target however long it is silent. */
     var isSilenceTolerated = false
 
+    /** Whether the listener knows that a silence of this attempt had no consequence. */
+    var isToleranceReported = false
+
     /** Whether the connection delivered a response to another request and must not be reused. */
     var isConnectionTainted = false
 
@@ -44,6 +48,12 @@
     var eventCount = 0
     val buffer = ByteArrayOutputStream()
 
+    /** From when on silence counts towards the next takeover. */
+    val silentSince: Instant get() = maxOf(lastProgressAt, lastTakeoverRequestedAt)
+
+    /** Returns how long the target has made no progress. */
+    fun silence(now: Instant): Duration = now - lastProgressAt
+
     /** Skips a response to another request; returns the limit that this exceeds, if any. */
     fun skipResponse(options: ExchangeOptions): String? {
         isForeign = true
@@ -70,27 +80,6 @@
         progressMark = pendingBytes
         lastProgressAt = now
     }
-
-    /** Returns the instant at which a target that stays silent has to be probed or abandoned. */
-    fun nextSilenceCheck(route: Route, options: ExchangeOptions): Instant {
-        if (!route.kind.isStream) {
-            if (!route.kind.isRepeatable || isSilenceTolerated) return Instant.DISTANT_FUTURE
-            return lastProgressAt + route.latencyObjective * options.silenceTimeoutFactor
-        }
-        val nextProbe = maxOf(lastProgressAt, lastProbedAt) + options.probeAfter
-        return stallTimeout(route.kind, options)?.let { minOf(nextProbe, lastProgressAt + it) }
-            ?: nextProbe
-    }
-
-    /**
-     * Returns the pause between events that counts as a failure, or null before the first event and
-     * for streams that cannot be retried.
-     */
-    fun stallTimeout(kind: CallKind, options: ExchangeOptions): Duration? = when {
-        eventCount == 0 || !kind.isRepeatable || isSilenceTolerated -> null
-        replicaTarget != null -> options.stallTimeoutWithReplica
-        else -> options.stallTimeoutWithoutReplica
-    }
 }
 
 /** A complete response of a target. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
@@ -5,7 +5,6 @@
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.id.TargetId
 import burdockspread.retry.RetryBudget
-import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,7 +30,7 @@
         private set
 
     /** Targets that have failed the request. */
-    val avoidedTargets: ImmutableSet<TargetId> get() = failedTargets
+    val avoidedTargets: PersistentSet<TargetId> get() = failedTargets
 
     /**
      * Records a send to [target]. Returns the target itself if it holds the replica of an earlier
@@ -63,13 +62,22 @@
     }
 
     /** Returns whether another attempt is allowed, and takes it from the retry budget. */
-    fun mayRetry(outcome: AttemptOutcome, now: Instant): Boolean {
+    fun mayRetry(outcome: AttemptOutcome, now: Instant): Boolean =
+        hasAttemptsLeft(now) && (outcome == AttemptOutcome.UNREACHABLE || tryAcquireRetry())
+
+    /** Returns whether the route and the remaining time allow another attempt. */
+    fun hasAttemptsLeft(now: Instant): Boolean {
         if (!kind.isRepeatable && delivered > 0) return false
         if (reached >= call.route.maxAttempts || count >= MAX_SENDS) return false
-        if (call.deadline - now < MIN_ATTEMPT_TIME) return false
-        return outcome == AttemptOutcome.UNREACHABLE || budget.tryAcquire()
+        return call.deadline - now >= MIN_ATTEMPT_TIME
     }
 
+    /** Takes one attempt from the retry budget. Returns false if it is exhausted. */
+    fun tryAcquireRetry(): Boolean = budget.tryAcquire()
+
+    /** Returns an attempt that was not made to the retry budget. */
+    fun releaseRetry(): Unit = budget.release()
+
     private companion object {
         /**
          * Maximum number of sends per request, including those that reached no target or were not
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -157,6 +157,33 @@
         now: Instant,
     ) {}
 
+    /** Called when another target is to take over, [silence] after the last progress. */
+    public fun onTakeoverRequested(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        silence: Duration,
+        now: Instant,
+    ) {}
+
+    /** Called when a requested takeover does not happen; [target] keeps the request. */
+    public fun onTakeoverWithdrawn(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ) {}
+
+    /** Called once per attempt if the silence of [target] has no consequence. */
+    public fun onSilenceTolerated(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ) {}
+
     /** Called when a stream resumes at another target, [pause] after the previous event. */
     public fun onResumed(
         call: Call,
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -3,11 +3,9 @@
 
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
-import burdockspread.forward.catalog.CallKind
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
-import burdockspread.forward.load.PlacementRequest
 import burdockspread.retry.RetryBudget
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
@@ -24,11 +22,14 @@
 ) : Exchange {
     private val kind = call.route.kind
     private val emitter = ResponseEmitter(call, listener)
+    private val assembly = ResponseAssembly(call, emitter, listener, options)
     private val history = AttemptHistory(call, budget)
-    private var current: Attempt? = null
-    private var waiting = false
+    private val silence = SilencePolicy(call.route, options)
+    private val placement = NextPlacement(call, policy, history, options)
+    private val takeover = Takeover(call, placement, history, listener)
 
-    private var lastEventAt = call.receivedAt
+    /** The attempt in flight; a placement that is queued meanwhile is its takeover. */
+    private var current: Attempt? = null
 
     /** Error response of a target, forwarded if no later attempt succeeds. */
     private var lastErrorResponse: BufferedResponse? = null
@@ -37,8 +38,9 @@
 
     override val wakeAt: Instant
         get() {
-            val active = current ?: return call.deadline
-            return minOf(call.deadline, active.nextSilenceCheck(call.route, options))
+            val active = current
+            if (active == null || placement.isQueued) return call.deadline
+            return minOf(call.deadline, silence.nextCheck(active))
         }
 
     override fun start(now: Instant): ImmutableList<ExchangeEffect> = step {
@@ -50,9 +52,14 @@
         decision: PlacementDecision,
         now: Instant,
     ): ImmutableList<ExchangeEffect> = step {
-        if (!waiting) return@step
-        waiting = false
-        applyPlacement(decision, now)
+        if (!placement.isQueued) return@step
+        placement.onDecided()
+        val silent = current
+        if (silent == null) {
+            applyPlacement(decision, now)
+        } else {
+            takeover.onDecision(silent, decision, now)?.let { takeOver(silent, it, now) }
+        }
     }
 
     override fun onResponseHead(
@@ -66,6 +73,7 @@
             return@ifCurrent
         }
         attempt.onProgress(now)
+        takeover.onReceived(attempt, now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.head = head
         attempt.isStreaming = kind.isStream && head.isSuccess && head.isValidFor(call)
@@ -77,14 +85,11 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
-        val head = attempt.head
-        when {
-            attempt.isForeign ->
-                attempt.skipBytes(bytes.size, options)?.let { rejectResponse(attempt, it, now) }
-            head == null -> Unit
-            attempt.isStreaming -> forwardEvents(attempt, head, bytes, now)
-            attempt.isRelaying -> emitter.forward(head, bytes)
-            else -> buffer(attempt, head, bytes, now)
+        val exceeded = assembly.onBody(attempt, bytes, now)
+        if (exceeded == null) {
+            takeover.onReceived(attempt, now)
+        } else {
+            rejectResponse(attempt, exceeded, now)
         }
     }
 
@@ -128,7 +133,7 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         if (alive || attempt.lastReceivedAt > attempt.lastProbedAt) return@ifCurrent
-        abandonAttempt(attempt, AttemptOutcome.SILENT, "no response to a probe", now)
+        applySilence(attempt, silence.concludeFromProbe(attempt), now)
     }
 
     override fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect> = step {
@@ -142,7 +147,9 @@
             now >= call.deadline -> onDeadline(now)
             attempt == null -> Unit
             timerDelay > MAX_TIMER_DELAY -> attempt.onProgress(now - timerDelay)
-            now >= attempt.nextSilenceCheck(call.route, options) -> onSilence(attempt, now)
+            placement.isQueued -> Unit
+            now >= silence.nextCheck(attempt) ->
+                applySilence(attempt, silence.conclude(attempt, now), now)
         }
     }
 
@@ -152,33 +159,12 @@
     }
 
     /** Submits the request to the load policy, for the first attempt or a retry. */
-    private fun requestPlacement(now: Instant) {
-        val prompt = call.prompt
-        val first = history.count == 0
-        val objective = call.route.latencyObjective
-        val wait = if (first) objective * options.queueWaitFraction else options.maxResumeWait
-        val request = PlacementRequest(
-            localId = call.localId,
-            promptTokens = prompt?.promptTokens ?: 0,
-            outputTokens = prompt?.outputTokens ?: 0,
-            prompt = prompt?.id,
-            priority = call.priority,
-            waitUntil = minOf(call.deadline, now + maxOf(wait, MIN_QUEUE_WAIT)),
-            isResume = !first,
-            avoidedTargets = history.avoidedTargets,
-            preferredTarget = history.replica?.id,
-            wantsReplica = kind == CallKind.RESUMABLE_STREAM,
-        )
-        applyPlacement(policy.submit(request, now), now)
-    }
+    private fun requestPlacement(now: Instant): Unit = applyPlacement(placement.request(now), now)
 
     private fun applyPlacement(decision: PlacementDecision, now: Instant) {
         when (decision) {
             is PlacementDecision.Placed -> send(decision, now)
-            is PlacementDecision.Waiting -> {
-                waiting = true
-                listener.onWaiting(call, now)
-            }
+            is PlacementDecision.Waiting -> listener.onWaiting(call, now)
             is PlacementDecision.Refused -> finish(decision.refusal, now)
         }
     }
@@ -199,34 +185,34 @@
         emitter.emit(send)
     }
 
-    private fun onSilence(attempt: Attempt, now: Instant) {
-        val silence = now - attempt.lastProgressAt
-        val maxPause = attempt.stallTimeout(kind, options)
-        if (kind.isStream && (maxPause == null || silence < maxPause)) {
-            attempt.lastProbedAt = now
-            emitter.emit(ExchangeEffect.Probe(attempt.number, attempt.target))
-            return
-        }
-        val outcome = if (kind.isStream) AttemptOutcome.SILENT else AttemptOutcome.FAILED
-        if (!attempt.isRelaying && history.mayRetry(outcome, now)) {
-            emitter.emit(ExchangeEffect.Cancel(attempt.number))
-            endFailedAttempt(attempt, outcome, "silent for $silence", now)
-            requestPlacement(now)
-        } else {
-            // The target may be slow rather than dead, and nobody else can answer the caller.
-            attempt.isSilenceTolerated = true
+    private fun applySilence(attempt: Attempt, conclusion: SilenceConclusion, now: Instant) {
+        when (conclusion) {
+            SilenceConclusion.PROBE -> {
+                attempt.lastProbedAt = now
+                emitter.emit(ExchangeEffect.Probe(attempt.number, attempt.target))
+            }
+            SilenceConclusion.TAKE_OVER ->
+                takeover.request(attempt, silence.outcome, now)?.let { takeOver(attempt, it, now) }
+            SilenceConclusion.TOLERATE ->
+                takeover.tolerate(attempt, "the response cannot be repeated", now)
         }
     }
 
-    private fun buffer(attempt: Attempt, head: ResponseHead, bytes: ByteArray, now: Instant) {
-        attempt.buffer.write(bytes)
-        attempt.onPartialProgress(attempt.buffer.size(), options, now)
-        if (attempt.buffer.size() <= options.bufferBytes) return
-        if (head.isValidFor(call)) {
-            relay(attempt, head)
-        } else {
-            rejectResponse(attempt, "a response without signature or id", now)
-        }
+    /** Cancels the silent [attempt] and sends the request to its successor, in one step. */
+    private fun takeOver(attempt: Attempt, successor: PlacementDecision.Placed, now: Instant) {
+        emitter.emit(ExchangeEffect.Cancel(attempt.number))
+        val detail = "silent for ${attempt.silence(now)}"
+        listener.onAttemptEnded(
+            call,
+            attempt.number,
+            attempt.target,
+            silence.outcome,
+            detail,
+            now,
+        )
+        history.onFailed(attempt, silence.outcome)
+        emitter.restart()
+        send(successor, now)
     }
 
     /** Closes the connection of a target whose bytes are no response or exceed a [limit]. */
@@ -312,49 +298,22 @@
     }
 
     private fun cancelAttempt(now: Instant) {
-        if (waiting) policy.cancel(call.localId)
-        waiting = false
-        val attempt = current ?: return
+        val attempt = current
+        if (attempt == null) {
+            placement.withdraw()
+            return
+        }
         emitter.emit(ExchangeEffect.Cancel(attempt.number))
         endAttempt(attempt, AttemptOutcome.CANCELLED, "cancelled", now)
     }
 
-    private fun forwardEvents(
-        attempt: Attempt,
-        head: ResponseHead,
-        bytes: ByteArray,
-        now: Instant,
-    ) {
-        val before = emitter.eventCount
-        emitter.forwardEvents(head, bytes)
-        if (emitter.eventCount > before) onEvent(attempt, now)
-        attempt.onPartialProgress(emitter.pendingBytes, options, now)
-        if (emitter.pendingBytes > options.maxEventBytes) {
-            rejectResponse(attempt, "an event", now)
-        }
-    }
-
-    private fun onEvent(attempt: Attempt, now: Instant) {
-        attempt.onProgress(now)
-        if (attempt.eventCount++ == 0 && attempt.number > 1) {
-            listener.onResumed(call, attempt.number, attempt.target, now - lastEventAt, now)
-        }
-        lastEventAt = now
-    }
-
-    /** Starts to forward a response that is too large to buffer. */
-    private fun relay(attempt: Attempt, head: ResponseHead) {
-        attempt.isRelaying = true
-        emitter.forward(head, attempt.buffer.toByteArray())
-        attempt.buffer.reset()
-    }
-
     private fun endAttempt(
         attempt: Attempt,
         outcome: AttemptOutcome,
         detail: String,
         now: Instant,
     ) {
+        takeover.withdraw(attempt, "the attempt ended", now)
         current = null
         policy.inFlight().onEnded(call.localId, outcome, now)
         listener.onAttemptEnded(call, attempt.number, attempt.target, outcome, detail, now)
@@ -379,7 +338,6 @@
 
         /** A longer timer delay is a pause of this host and says nothing about the target. */
         val MAX_TIMER_DELAY = 60.milliseconds
-        val MIN_QUEUE_WAIT = 20.milliseconds
         val SHUTDOWN_RETRY_AFTER = 20.milliseconds
     }
 }
@@ -388,6 +346,3 @@
 
 private fun ResponseHead.outcome(): AttemptOutcome =
     if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
-
-/** Returns whether the response is signed and belongs to [call]. */
-private fun ResponseHead.isValidFor(call: Call): Boolean = sealed && requestId == call.id
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -25,7 +25,10 @@
     /** Sets the service's limits and the targets that may receive new requests. */
     public fun onTargets(service: Service, targets: ImmutableList<ListedTarget>, now: Instant)
 
-    /** Places [request] immediately, queues it or refuses it. */
+    /**
+     * Places [request] immediately, queues it or refuses it. A request that supersedes an earlier
+     * attempt is placed at a target that it does not avoid, or not at all.
+     */
     public fun submit(request: PlacementRequest, now: Instant): PlacementDecision
 
     /**
@@ -98,6 +101,8 @@
  * @property avoidedTargets targets that failed this request.
  * @property preferredTarget target that holds a KV cache replica of the earlier attempt, or null.
  * @property wantsReplica whether a second target should keep a replica of the attempt's KV cache.
+ * @property supersedes outcome of the earlier attempt, which stays in flight until the request is
+ * placed and then ends; null if no attempt is in flight.
  */
 public data class PlacementRequest(
     public val localId: Long,
@@ -110,6 +115,7 @@
     public val avoidedTargets: ImmutableSet<TargetId> = persistentSetOf(),
     public val preferredTarget: TargetId? = null,
     public val wantsReplica: Boolean = false,
+    public val supersedes: AttemptOutcome? = null,
 )
 
 /** The decision on a placement request. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -51,6 +51,9 @@
     override fun submit(request: PlacementRequest, now: Instant): PlacementDecision {
         if (queue.canOvertake(request)) place(request, now)?.let { return it }
         if (targets.isEmpty() && !request.isResume) return PlacementDecision.Refused(noTarget())
+        if (request.supersedes != null && targets.keys.all { it in request.avoidedTargets }) {
+            return PlacementDecision.Refused(noTarget())
+        }
         if (now >= request.waitUntil) return PlacementDecision.Refused(overloaded(now))
         if (queue.size >= options.maxQueueLength) return PlacementDecision.Refused(overloaded(now))
         queue.add(request)
@@ -123,6 +126,7 @@
 
     private fun place(request: PlacementRequest, now: Instant): PlacementDecision.Placed? {
         val chosen = choose(request, now) ?: return null
+        request.supersedes?.let { onEnded(request.localId, it, now) }
         val mayReplicate = request.wantsReplica && service?.engine?.replicatesKvCache == true
         val replicaTarget = if (mayReplicate) selectReplicaTarget(request, chosen, now) else null
         val totalTokens = request.promptTokens + request.outputTokens
@@ -180,7 +184,9 @@
 
     /** Targets that already failed this request or are ejected, if the pool has no others. */
     private fun lastResort(request: PlacementRequest, now: Instant): List<TargetLoad> {
-        if (pool.size > request.avoidedTargets.size) return emptyList()
+        if (request.supersedes != null || pool.size > request.avoidedTargets.size) {
+            return emptyList()
+        }
         return pool.filterNot { it.isGone(now) }
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/WaitingQueue.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/WaitingQueue.kt
@@ -15,9 +15,12 @@
 
     fun remove(localId: Long): Boolean = waiting.remove(localId) != null
 
-    /** Returns whether no queued request comes before [request]. */
+    /**
+     * Returns whether no queued request comes before [request]. One that supersedes an attempt is
+     * served meanwhile and holds up no other.
+     */
     fun canOvertake(request: PlacementRequest): Boolean =
-        waiting.values.none { ORDER.compare(it, request) <= 0 }
+        waiting.values.none { it.supersedes == null && ORDER.compare(it, request) <= 0 }
 
     /** Removes and returns the requests whose wait has ended. */
     fun expired(now: Instant): List<PlacementRequest> {
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
@@ -1,8 +1,11 @@
 package burdockspread.forward.exchange
 
+import burdockspread.error.ErrorCode
 import burdockspread.error.ExecutionOutcome
+import burdockspread.error.Refusal
 import burdockspread.forward.Fixture
 import burdockspread.forward.catalog.CallKind
+import burdockspread.forward.load.PlacementDecision
 import burdockspread.id.ServiceId
 import burdockspread.retry.RetryBudget
 import kotlinx.collections.immutable.persistentListOf
@@ -34,8 +37,26 @@
         assertTrue(run.exchange.isEnded, "no final response")
     }
 
-    private class Run(private val kind: CallKind) {
-        private val targets = List(6) { Fixture.target("t$it") }
+    // Guards against a takeover that is decided after its request has changed or ended.
+    @Property(seed = "20261205")
+    fun `while placements are queued, each promise holds`(
+        @ForAll kind: CallKind,
+        @ForAll @IntRange(min = 0, max = 2) free: Int,
+        @ForAll @Size(max = 30) events: List<
+            @IntRange(min = 0, max = 20)
+            Int,
+            >,
+    ) {
+        val run = Run(kind, targetCount = free)
+        run.accept(run.exchange.start(run.now))
+        events.forEach(run::step)
+        run.accept(run.exchange.onTimer(run.exchange.call.deadline, ZERO))
+        assertTrue(run.exchange.isEnded, "no final response")
+    }
+
+    private class Run(private val kind: CallKind, targetCount: Int = 6) {
+        private val targets = List(targetCount) { Fixture.target("t$it") }
+        private val policy = ScriptedPolicy(targets, targets.lastOrNull())
         var now: Instant = Fixture.START
         val exchange = Exchange(
             Call(
@@ -48,11 +69,14 @@
                 receivedAt = now,
                 deadline = now + 20.seconds,
             ),
-            ScriptedPolicy(targets, targets.last()),
+            policy,
             RetryBudget(1.0, 3),
         )
         private var attempt = 0
         private var isActive = false
+
+        /** Whether an attempt was neither cancelled nor released and has not failed. */
+        private var isInFlight = false
         private var hasEnded = false
         private var hasBegun = false
         private var mayHaveRun = false
@@ -76,11 +100,21 @@
                 14 -> failure(AttemptFailure.MALFORMED, neverRan = false)
                 15 -> exchange.onTimer(now, ZERO)
                 16 -> exchange.onTimer(now, 2.seconds)
-                else -> exchange.onProbe(attempt, false, now)
+                17 -> exchange.onProbe(attempt, false, now)
+                18, 19 -> decide(PlacementDecision.Placed(Fixture.target("spare"), null))
+                else -> decide(
+                    PlacementDecision.Refused(Refusal(ErrorCode.OVERLOADED, "full", 1.seconds)),
+                )
             }
             accept(effects)
         }
 
+        private fun decide(decision: PlacementDecision): List<ExchangeEffect> {
+            if (!policy.isQueued) return emptyList()
+            policy.isQueued = false
+            return exchange.onPlacement(decision, now)
+        }
+
         private fun head(head: ResponseHead): List<ExchangeEffect> {
             if (!isActive || headSeen != null) return emptyList()
             if (head.requestId != "other") headSeen = head
@@ -107,6 +141,7 @@
             if (!isActive) return emptyList()
             if (failure == AttemptFailure.NOT_CONNECTED && !neverRan) return emptyList()
             if (neverRan) isRefusedByTarget = true
+            isInFlight = false
             return exchange.onFailure(attempt, failure, now).also {
                 isActive =
                     isActive &&
@@ -123,7 +158,11 @@
         private fun accept(effect: ExchangeEffect) {
             assertTrue(!hasEnded, "$effect after the end")
             when (effect) {
-                is ExchangeEffect.Send -> onSend(effect)
+                is ExchangeEffect.Send -> {
+                    assertTrue(!isInFlight, "two attempts in flight")
+                    isInFlight = true
+                    onSend(effect)
+                }
                 is ExchangeEffect.Cancel, is ExchangeEffect.Release -> leave()
                 is ExchangeEffect.Begin -> {
                     assertTrue(!hasBegun, "a second response")
@@ -141,6 +180,7 @@
         }
 
         private fun leave() {
+            isInFlight = false
             if (isActive && !isRefusedByTarget) mayHaveRun = true
             isActive = false
         }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -26,12 +26,26 @@
     InFlightTracker {
     var placed = 0
 
+    /** Requests that were submitted, in order. */
+    val requests = ArrayList<PlacementRequest>()
+
+    /** Whether the request waits for a decision of the test. */
+    var isQueued = false
+
+    /** Number of requests that were withdrawn from the queue. */
+    var cancelled = 0
+
+    /** Number of attempts whose end was reported. */
+    var endings = 0
+
     override fun onTargets(service: Service, targets: ImmutableList<ListedTarget>, now: Instant) =
         Unit
 
     override fun submit(request: PlacementRequest, now: Instant): PlacementDecision {
+        requests += request
         val target =
             targets.firstOrNull { it.id == request.preferredTarget } ?: targets.getOrNull(placed)
+        isQueued = target == null
         if (target == null) return PlacementDecision.Waiting
         placed++
         return PlacementDecision.Placed(
@@ -42,7 +56,10 @@
 
     override fun poll(now: Instant): ImmutableList<ResolvedPlacement> = persistentListOf()
 
-    override fun cancel(localId: Long) = Unit
+    override fun cancel(localId: Long) {
+        cancelled++
+        isQueued = false
+    }
 
     override fun onPeerLostTarget(target: TargetId, now: Instant): Boolean = false
 
@@ -56,7 +73,9 @@
 
     override fun onResponseHead(localId: Long, load: ReportedLoad?, now: Instant) = Unit
 
-    override fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant) = Unit
+    override fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant) {
+        endings++
+    }
 
     override fun stats(now: Instant) = PoolStats(targets.size, 0, 0, 0)
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -66,6 +66,42 @@
         event.info(requestLimiter)
     }
 
+    override fun onTakeoverRequested(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        silence: Duration,
+        now: Instant,
+    ): Unit = requestEvent(call, "takeover_requested", now)
+        .with("attempt", attemptNumber.toString())
+        .with("target", target.id.value)
+        .with("silence_ms", silence.inWholeMilliseconds.toString())
+        .info(requestLimiter)
+
+    override fun onTakeoverWithdrawn(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ): Unit = requestEvent(call, "takeover_withdrawn", now)
+        .with("attempt", attemptNumber.toString())
+        .with("target", target.id.value)
+        .with("detail", reason)
+        .info(requestLimiter)
+
+    override fun onSilenceTolerated(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ): Unit = requestEvent(call, "silence_tolerated", now)
+        .with("attempt", attemptNumber.toString())
+        .with("target", target.id.value)
+        .with("detail", reason)
+        .info(requestLimiter)
+
     override fun onResumed(
         call: Call,
         attemptNumber: Int,
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -65,6 +65,39 @@
         delegate.onAttemptEnded(call, attemptNumber, target, outcome, detail, now)
     }
 
+    override fun onTakeoverRequested(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        silence: Duration,
+        now: Instant,
+    ) {
+        countSilence(call, "takeover_requested")
+        delegate.onTakeoverRequested(call, attemptNumber, target, silence, now)
+    }
+
+    override fun onTakeoverWithdrawn(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ) {
+        countSilence(call, "takeover_withdrawn")
+        delegate.onTakeoverWithdrawn(call, attemptNumber, target, reason, now)
+    }
+
+    override fun onSilenceTolerated(
+        call: Call,
+        attemptNumber: Int,
+        target: TargetEntry,
+        reason: String,
+        now: Instant,
+    ) {
+        countSilence(call, "tolerated")
+        delegate.onSilenceTolerated(call, attemptNumber, target, reason, now)
+    }
+
     override fun onResumed(
         call: Call,
         attemptNumber: Int,
@@ -133,6 +166,14 @@
         delegate.onInternalError(id, cause)
     }
 
+    private fun countSilence(call: Call, conclusion: String): Unit = count(
+        "burdock_forward_silences_total",
+        "service",
+        call.service.value,
+        "conclusion",
+        conclusion,
+    )
+
     private fun countRefusal(refusal: Refusal): Unit =
         count("burdock_forward_refusals_total", "code", refusal.code.number.toString())
 
--- a/burdock-routing-core/src/main/kotlin/burdockspread/retry/RetryBudget.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/retry/RetryBudget.kt
@@ -11,6 +11,9 @@
     /** Takes one retry or second attempt from the budget. Returns false if it is exhausted. */
     public fun tryAcquire(): Boolean
 
+    /** Returns a retry that was taken with [tryAcquire] and not made. */
+    public fun release()
+
     /** Creates [RetryBudget] instances. */
     public companion object {
         /**
@@ -48,6 +51,10 @@
         }
     }
 
+    override fun release() {
+        balance.updateAndGet { minOf(it + ONE_RETRY, maxBalance) }
+    }
+
     private companion object {
         const val ONE_RETRY = 1_000L
     }
