Bound the nesting of JSON text before a parser reads it

Seen: one entry of the store's list that nests 3,000 levels deep (10,000 and more in these tests, with more stack) makes PlatformStore.list and watch throw a StackOverflowError. The host's watch job ends with it, and Following keeps the ended job, so the host never watches the store again; the process stays alive. A process that starts beside such an entry is never ready.

Cause: the JSON parser calls itself for each array within another, and so does the text form of the parsed elements. Nothing bounds the depth of the text, and the handlers catch exceptions only. Messages of peers, the configuration, callers' bodies, chunks of engines and logs were read likewise.

Fix: NestingLimit.kt counts the brackets outside strings in one pass, without recursion, and rejects text of more than 64 levels before any parser sees it. In responses of a store, a field of an object that nests deeper is read as null, so that the other objects of the page or batch are read. The object keeps its name and revision, so that its target is removed from use like that of any unreadable entry. A configuration that is too deep is rejected whole, and the one in force stays.

--- a/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimCodec.kt
+++ b/burdock-claims-core/src/main/kotlin/burdockspread/claim/ClaimCodec.kt
@@ -1,6 +1,7 @@
 /** Encoding of the ledger's objects in the store. */
 package burdockspread.claim
 
+import burdockspread.json.mergeBounded
 import burdockspread.store.ObjectKey
 import burdockspread.wire.claims.ClaimArchive
 import burdockspread.wire.claims.ClaimHead
@@ -24,11 +25,11 @@
     fun encode(message: Message): String = printer.print(message)
 
     fun decodeLayout(text: String): ClaimLayout =
-        ClaimLayout.newBuilder().also { parser.merge(text, it) }.build()
+        ClaimLayout.newBuilder().also { parser.mergeBounded(text, it) }.build()
 
     fun decodeHead(text: String): ClaimHead =
-        ClaimHead.newBuilder().also { parser.merge(text, it) }.build()
+        ClaimHead.newBuilder().also { parser.mergeBounded(text, it) }.build()
 
     fun decodeArchive(text: String): ClaimArchive =
-        ClaimArchive.newBuilder().also { parser.merge(text, it) }.build()
+        ClaimArchive.newBuilder().also { parser.mergeBounded(text, it) }.build()
 }
--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/FleetClient.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/FleetClient.kt
@@ -1,6 +1,7 @@
 /** Client for the fleet reports of hosts. */
 package burdockspread.ctl
 
+import burdockspread.json.mergeBounded
 import burdockspread.wire.fleet.FleetReport
 import com.google.protobuf.InvalidProtocolBufferException
 import com.google.protobuf.util.JsonFormat
@@ -32,7 +33,7 @@
 
     private fun parse(text: String): FleetReport = try {
         val builder = FleetReport.newBuilder()
-        JsonFormat.parser().ignoringUnknownFields().merge(text, builder)
+        JsonFormat.parser().ignoringUnknownFields().mergeBounded(text, builder)
         builder.build()
     } catch (e: InvalidProtocolBufferException) {
         throw CtlFailure.generic("cannot parse the fleet report: ${e.message}")
--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
@@ -1,6 +1,7 @@
 /** Timeline of a request, reconstructed from the logs of its hosts. */
 package burdockspread.ctl
 
+import burdockspread.json.parseBounded
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -35,7 +36,7 @@
             if (start < 0) return null
             val line =
                 try {
-                    Json.parseToJsonElement(text.substring(start)) as? JsonObject
+                    Json.parseBounded(text.substring(start)) as? JsonObject
                 } catch (_: SerializationException) {
                     // Standard output also carries non-JSON text, such as a JVM crash report.
                     null
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/SectionReader.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/SectionReader.kt
@@ -7,6 +7,7 @@
 import arrow.core.nonEmptyListOf
 import arrow.core.right
 import burdockspread.json.ProtoJson
+import burdockspread.json.mergeBounded
 import burdockspread.wire.document.Section
 import com.google.protobuf.Descriptors.Descriptor
 import com.google.protobuf.InvalidProtocolBufferException
@@ -42,7 +43,7 @@
     /** Parses canonical JSON, which passed [parse] when its edit was accepted. */
     internal fun parseCanonical(section: String, json: String) = try {
         val builder = Section.newBuilder()
-        fastParser.merge(json, builder)
+        fastParser.mergeBounded(json, builder)
         builder.build().right()
     } catch (e: InvalidProtocolBufferException) {
         nonEmptyListOf(DocumentProblem(section, "", e.message.orEmpty())).left()
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/edit/DocumentReader.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/edit/DocumentReader.kt
@@ -4,6 +4,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import burdockspread.json.mergeBounded
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -86,7 +87,7 @@
         transform: (M) -> Either<String, R>,
     ): Either<String, R> = try {
         val builder = prototype.newBuilderForType()
-        parser.merge(stored.value, builder)
+        parser.mergeBounded(stored.value, builder)
         transform(builder.build() as M)
     } catch (e: InvalidProtocolBufferException) {
         "object ${stored.key.name} cannot be parsed: ${e.message}".left()
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayCore.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/relay/RelayCore.kt
@@ -4,6 +4,7 @@
 import burdockspread.document.CanonicalJson
 import burdockspread.document.VersionedSection
 import burdockspread.document.edit.StoredDocument
+import burdockspread.json.mergeBounded
 import burdockspread.store.ObjectKey
 import burdockspread.store.StoredObject
 import burdockspread.store.WatchEvent
@@ -80,7 +81,7 @@
     @Suppress("UNCHECKED_CAST")
     private fun <M : Message> parse(value: StoredObject, prototype: M): M? = try {
         val builder = prototype.newBuilderForType()
-        parser.merge(value.value, builder)
+        parser.mergeBounded(value.value, builder)
         builder.build() as M
     } catch (e: InvalidProtocolBufferException) {
         null
--- a/burdock-json/src/main/kotlin/burdockspread/json/ProtoJson.kt
+++ b/burdock-json/src/main/kotlin/burdockspread/json/ProtoJson.kt
@@ -36,7 +36,7 @@
     ): Either<NonEmptyList<JsonProblem>, M> {
         val root =
             try {
-                Json.parseToJsonElement(text)
+                Json.parseBounded(text)
             } catch (e: SerializationException) {
                 return problem("", "not valid JSON: ${firstLine(e)}")
             }
--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -1,6 +1,8 @@
 /** HTTP client for the platform's versioned object API. */
 package burdockspread.store.http
 
+import burdockspread.json.MAX_NESTING
+import burdockspread.json.withoutDeepValues
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -36,6 +38,7 @@
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
 import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.LogManager
 import java.io.Closeable
 import java.net.ConnectException
 import kotlin.time.Duration
@@ -74,7 +77,7 @@
     override suspend fun list(kind: String): ListResult = readCall({ ListResult.Unavailable(it) }) {
         val response = client.get("$root/$kind") { applyCallTimeout() }
         if (response.status.isSuccess()) {
-            val list = json.decodeFromString<ApiList>(response.bodyAsText())
+            val list = decode<ApiList>(response.bodyAsText(), IN_ITEM)
             val objects = list.items.map { toStoredObject(kind, it) }.toImmutableList()
             ListResult.Listed(objects, version(list.metadata))
         } else {
@@ -135,7 +138,7 @@
             val lines = response.bodyAsChannel()
             while (true) {
                 val line = lines.readUTF8Line() ?: break
-                val event = json.decodeFromString<ApiWatchEvent>(line)
+                val event = decode<ApiWatchEvent>(line, IN_EVENT)
                 emit(watchEvent(kind, event) ?: return@execute "resource version expired")
             }
             "stream ended"
@@ -194,7 +197,7 @@
         val status = response.status
         return when {
             status.isSuccess() -> {
-                val written = json.decodeFromString<ApiObject>(response.bodyAsText())
+                val written = decode<ApiObject>(response.bodyAsText(), IN_OBJECT)
                 WriteResult.Written(version(written.metadata))
             }
             status == HttpStatusCode.Conflict || status == HttpStatusCode.NotFound ->
@@ -205,7 +208,7 @@
     }
 
     private suspend fun toStoredObject(kind: String, response: HttpResponse): StoredObject =
-        toStoredObject(kind, json.decodeFromString<ApiObject>(response.bodyAsText()))
+        toStoredObject(kind, decode<ApiObject>(response.bodyAsText(), IN_OBJECT))
 
     private fun toStoredObject(kind: String, value: ApiObject): StoredObject {
         val writeId = value.metadata.annotations[WRITE_ID_ANNOTATION].orEmpty()
@@ -213,13 +216,31 @@
         return StoredObject(key, version(value.metadata), writeId, value.spec.toString())
     }
 
+    /**
+     * Decodes a response in which the fields of an object lie within [level] arrays and objects. A
+     * field that nests too deeply is read as null, so that it costs no other object.
+     */
+    private inline fun <reified T> decode(text: String, level: Int): T {
+        val bounded = withoutDeepValues(text, level)
+        if (bounded !== text) {
+            log.info("reading a value that nests deeper than {} levels as null", MAX_NESTING)
+        }
+        return json.decodeFromString(bounded)
+    }
+
     private fun version(metadata: ApiMetadata): Long =
         metadata.resourceVersion?.toLongOrNull() ?: 0L
 
     private fun path(key: ObjectKey): String = "$root/${key.kind}/${key.name}"
 
     private companion object {
+        val log = LogManager.getLogger(HttpObjectStore::class.java)
         val CLIENT_ERRORS = 400..499
+
+        /** Arrays and objects around the fields of a single object, an item and an event. */
+        const val IN_OBJECT = 1
+        const val IN_ITEM = 3
+        const val IN_EVENT = 2
         val json =
             Json {
                 ignoreUnknownKeys = true
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/ChunkReader.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/ChunkReader.kt
@@ -1,6 +1,7 @@
 /** Conversion of an attempt's response chunks to events with token offsets. */
 package burdockspread.target.engine
 
+import burdockspread.json.decodeBounded
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.SerializationException
@@ -28,7 +29,7 @@
     private fun readChunk(data: String): EngineEvent? {
         val chunk =
             try {
-                json.decodeFromString<EngineChunk>(data)
+                json.decodeBounded<EngineChunk>(data)
             } catch (e: SerializationException) {
                 return EngineEvent.Failed(EngineFailure.ENGINE_FAULT, "chunk is not valid JSON")
             }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/CompletionBody.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/CompletionBody.kt
@@ -9,6 +9,7 @@
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.id.ModelId
+import burdockspread.json.parseBounded
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
@@ -101,7 +102,7 @@
         private fun Raise<Refusal>.parseObject(text: String): JsonObject {
             val element =
                 try {
-                    Json.parseToJsonElement(text)
+                    Json.parseBounded(text)
                 } catch (e: SerializationException) {
                     raise(malformed("not valid JSON"))
                 }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -1,6 +1,7 @@
 /** HTTP client for the order API of engines. */
 package burdockspread.target.order
 
+import burdockspread.json.decodeBounded
 import burdockspread.target.targetClient
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.request.get
@@ -51,7 +52,7 @@
 
     override suspend fun state(address: String): EngineState? = try {
         val response = client.get("http://$address/admin/state")
-        val state = json.decodeFromString<StateJson>(response.bodyAsText())
+        val state = json.decodeBounded<StateJson>(response.bodyAsText())
         EngineState(state.models.toImmutableMap()).takeIf { response.status.isSuccess() }
     } catch (e: CancellationException) {
         throw e
