Restart supervised tasks after errors too

Seen: a StackOverflowError in a supervised task ended it for good, and by their scope the tasks beside it; a periodic task of an event loop never ran again.

Cause: launchSupervised and scheduleSupervised caught Exception, and a StackOverflowError is an Error.

Evidence, these tests before the change:

SupervisionTest.a task that failed with an error starts again and its siblings go on » StackOverflow SupervisionTest.a task that is cancelled after an error does not start again:46 » StackOverflow SupervisionTest.a scheduled task that failed with an error runs again:74 expected: <3> but was: <1>

Fix: both catch Throwable and log it. Cancellation still ends a task. Running out of memory still ends the process, since -XX:+ExitOnOutOfMemoryError acts in the JVM before any handler (read, not run).

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
@@ -1,4 +1,9 @@
-/** Background tasks that survive unexpected exceptions. */
+/**
+ * Background tasks that survive unexpected exceptions and errors.
+ *
+ * An error such as a [StackOverflowError] leaves the process sound once the stack is unwound. When
+ * memory runs out, the JVM itself ends the process, by `-XX:+ExitOnOutOfMemoryError`.
+ */
 package burdockspread.forward.host
 
 import io.netty.util.concurrent.EventExecutor
@@ -17,8 +22,8 @@
 private val log = LogManager.getLogger("supervision")
 
 /**
- * Runs [task] until it returns or is cancelled, and starts it again after an unexpected exception,
- * so that a host does not stop updating itself while it goes on serving.
+ * Runs [task] until it returns or is cancelled, and starts it again after an unexpected exception
+ * or error, so that a host does not stop updating itself while it goes on serving.
  */
 internal fun CoroutineScope.launchSupervised(name: String, task: suspend () -> Unit): Job = launch {
     while (true) {
@@ -26,19 +31,19 @@
             return@launch task()
         } catch (e: CancellationException) {
             throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             log.error("{} failed; it starts again in {}", name, RESTART_DELAY, e)
         }
         delay(RESTART_DELAY)
     }
 }
 
-/** Runs [task] every [interval], also after it has thrown an exception. */
+/** Runs [task] every [interval], also after it has thrown an exception or error. */
 internal fun EventExecutor.scheduleSupervised(name: String, interval: Duration, task: () -> Unit) {
     val guarded = Runnable {
         try {
             task()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             log.error("{} failed; it runs again in {}", name, interval, e)
         }
     }
