Log unexpected exceptions of datagrams and small requests

Seen by reading: an exception other than a malformed message in the handler of load reports was logged at debug level, and hosts log from info on; in the handler of peers' and operators' requests it closed the connection without a line.

Evidence: LoadExchangeTest shows that malformed datagrams and unexpected exceptions cost one datagram each, and OddPeerMessagesTest that malformed messages of peers are rejected and the host goes on. Both passed before; no test reads the log.

Fix: both handlers log what is no IOException as an error; the channel of load reports goes on as before.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -19,6 +19,7 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.toImmutableMap
 import org.apache.logging.log4j.LogManager
+import java.io.IOException
 import java.net.InetSocketAddress
 import kotlin.time.Instant
 
@@ -111,8 +112,12 @@
 
         @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            // An unreachable peer can cause this; the channel still serves the others.
-            log.debug("error on the load report channel: {}", cause.message)
+            if (cause is IOException) {
+                // An unreachable peer can cause this; the channel still serves the others.
+                log.debug("error on the load report channel: {}", cause.message)
+            } else {
+                log.error("a load report was not applied", cause)
+            }
         }
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/SimpleHttpServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/SimpleHttpServer.kt
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.apache.logging.log4j.LogManager
+import java.io.IOException
 
 /** A small response. */
 internal class SimpleHttpResponse(
@@ -65,11 +67,14 @@
 
         @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            // A peer or an operator that closes its connection can cause an IOException.
+            if (cause !is IOException) log.error("a small request failed", cause)
             context.close()
         }
     }
 
     private companion object {
         const val MAX_BODY_BYTES = 65_536
+        val log = LogManager.getLogger(SimpleHttpServer::class.java)
     }
 }
