Skip a response without id to a request that was sent with one

Callers saw: an order that may run once was answered 503 "not run" although its target ran it. Cause: a response with Burdockspread-Not-Executed but without an id was believed by whichever request was in progress; refused health checks and the 400 to a request without id look like that.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -15,6 +15,8 @@
  *
  * @property localId identifies the request within the process.
  * @property id the caller's own id of this attempt, forwarded unchanged.
+ * @property isIdentified whether the caller sent [id]; otherwise [id] is local, and no target
+ * receives it.
  * @property deadline the earlier of the caller's deadline and the route's timeout.
  * @property prompt the prompt, or null for calls to plain services.
  * @property resumeAfterEventId id of the last event that the caller already has, or null.
@@ -30,6 +32,7 @@
     public val deadline: Instant,
     public val prompt: Prompt? = null,
     public val resumeAfterEventId: String? = null,
+    public val isIdentified: Boolean = true,
 )
 
 /**
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -61,7 +61,7 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
-        if (head.requestId != null && head.requestId != call.id) {
+        if (!head.belongsTo(call)) {
             attempt.skipResponse(options)?.let { rejectResponse(attempt, it, now) }
             return@ifCurrent
         }
@@ -388,6 +388,3 @@
 
 private fun ResponseHead.outcome(): AttemptOutcome =
     if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
-
-/** Returns whether the response is signed and belongs to [call]. */
-private fun ResponseHead.isValidFor(call: Call): Boolean = sealed && requestId == call.id
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RequestRouter.kt
@@ -19,6 +19,7 @@
  * The parts of a caller's request that decide on its routing.
  *
  * @property path path without the query.
+ * @property id the caller's own id of this attempt, or null if it sent none.
  * @property callerTimeout time that the caller will wait, or null if it did not say.
  */
 public data class CallerFields(
@@ -72,6 +73,7 @@
             deadline = now + minOf(callerTimeout, route.timeout),
             prompt = fields.prompt,
             resumeAfterEventId = fields.resumeAfterEventId,
+            isIdentified = fields.id != null,
         )
     }
 
