Send a request without id over a connection of its own

Callers saw: an order was answered 503 "not run" although its target ran it. Cause: a target answers 400 without id to a request whose caller sent no id, and both shared a kept connection, so that a second copy of the 400 arrived as the response to the order.

The exchange core states with each send which connections may carry it (ConnectionUse); Connections honours it. A request without id takes no idle connection and leaves none, so its response without id can't be another's, nor be taken for another's. What it says may be believed.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
@@ -33,6 +33,10 @@
     /** Targets that have failed the request. */
     val avoidedTargets: ImmutableSet<TargetId> get() = failedTargets
 
+    /** Returns which connections may carry the next attempt. */
+    fun connectionUse(): ConnectionUse =
+        if (call.isIdentified) ConnectionUse.SHARED else ConnectionUse.EXCLUSIVE
+
     /**
      * Records a send to [target]. Returns the target itself if it holds the replica of an earlier
      * attempt, from which the request then resumes.
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -100,6 +100,7 @@
      * @property replicaAddress address of the target that holds a KV cache replica of the earlier
      * attempt, or null.
      * @property replicaTarget target that is to keep a KV cache replica of this attempt, or null.
+     * @property connection which connections to [target] may carry the request.
      */
     public data class Send(
         public val attemptNumber: Int,
@@ -108,6 +109,7 @@
         public val resumeAfterEventId: String?,
         public val replicaAddress: String?,
         public val replicaTarget: TargetEntry?,
+        public val connection: ConnectionUse,
     ) : ExchangeEffect
 
     /** Closes the connection of [attemptNumber], so that its target stops working on it. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -184,6 +184,7 @@
     }
 
     private fun send(placed: PlacementDecision.Placed, now: Instant) {
+        val connection = history.connectionUse()
         val fromReplica = history.onSent(placed.target)
         val attempt = Attempt(history.count, placed.target, placed.replicaTarget, now)
         current = attempt
@@ -194,6 +195,7 @@
             resumeAfterEventId = emitter.lastEventId,
             replicaAddress = fromReplica?.address,
             replicaTarget = placed.replicaTarget,
+            connection = connection,
         )
         listener.onSent(call, send, now)
         emitter.emit(send)
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseOwnershipTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseOwnershipTest.kt
@@ -22,7 +22,7 @@
     // A repeated refusal of a health check was answered to a caller whose order then ran.
     @Test
     fun `a refusal without id is not the response to a request that has one`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT)
+        val exchange = started(CallKind.NON_IDEMPOTENT)
         assertEquals(0, respond(exchange, refusal(requestId = null)).size)
         val effects = respond(exchange, head(200))
         assertEquals(ExchangeEffect.Release(1, false), effects[0])
@@ -32,7 +32,7 @@
     // An order that may still run was refused as not run when nothing else arrived.
     @Test
     fun `after nothing but a refusal without id the outcome is unknown`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT, one)
+        val exchange = started(CallKind.NON_IDEMPOTENT, one)
         respond(exchange, refusal(requestId = null))
         val effects = exchange.onTimer(exchange.call.deadline, ZERO)
         assertEquals(ErrorCode.TARGET_TIMEOUT, refused(effects))
@@ -41,7 +41,7 @@
     // An order that may still run was refused as not run when its connection then closed.
     @Test
     fun `a connection that ends after a refusal without id leaves the outcome unknown`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT, one)
+        val exchange = started(CallKind.NON_IDEMPOTENT, one)
         respond(exchange, refusal(requestId = null))
         val effects = exchange.onFailure(1, AttemptFailure.BROKEN, start)
         assertEquals(ErrorCode.OUTCOME_UNKNOWN, refused(effects))
@@ -50,7 +50,7 @@
     // Refusals without id could keep an attempt busy without limit.
     @Test
     fun `refusals without id beyond the limit leave the outcome unknown`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT)
+        val exchange = started(CallKind.NON_IDEMPOTENT)
         val effects = List(10) { respond(exchange, refusal(requestId = null)) }.flatten()
         assertEquals(ExchangeEffect.Cancel(1), effects[0])
         assertEquals(ErrorCode.OUTCOME_UNKNOWN, refused(effects))
@@ -59,7 +59,7 @@
     // A request sent to another runner after a 421 without id could run at both.
     @Test
     fun `a misdirected response without id does not lead to another send`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT)
+        val exchange = started(CallKind.NON_IDEMPOTENT)
         val misdirected = head(421, requestId = null, notExecuted = true, sealed = false)
         assertEquals(0, respond(exchange, misdirected).size)
     }
@@ -67,7 +67,7 @@
     // A response without id is a call's own if it has none, since its connection is its own.
     @Test
     fun `a refusal without id is the response to a request that has none`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT, one, isIdentified = false)
+        val exchange = started(CallKind.NON_IDEMPOTENT, one, isIdentified = false)
         respond(exchange, refusal(requestId = null))
         val effects = exchange.onTimer(exchange.call.deadline, ZERO)
         assertEquals(ErrorCode.DEADLINE_UNREACHABLE, refused(effects))
@@ -76,10 +76,26 @@
     // The local id of a request without id was compared with ids that targets state.
     @Test
     fun `a response with an id is not the response to a request that has none`() {
-        val exchange = exchange(CallKind.NON_IDEMPOTENT, one, isIdentified = false)
+        val exchange = started(CallKind.NON_IDEMPOTENT, one, isIdentified = false)
         assertEquals(0, respond(exchange, refusal(requestId = "call-1")).size)
     }
 
+    // The 400 to a request without id was taken for the response to a later one.
+    @Test
+    fun `a request without id has a connection of its own`() {
+        val exchange = exchange(CallKind.NON_IDEMPOTENT, isIdentified = false)
+        assertEquals(ConnectionUse.EXCLUSIVE, sent(exchange.start(start)))
+    }
+
+    private fun sent(effects: List<ExchangeEffect>): ConnectionUse =
+        effects.filterIsInstance<ExchangeEffect.Send>().single().connection
+
+    private fun started(
+        kind: CallKind,
+        vararg targets: TargetEntry = arrayOf(one, two),
+        isIdentified: Boolean = true,
+    ): Exchange = exchange(kind, *targets, isIdentified = isIdentified).also { it.start(start) }
+
     private fun exchange(
         kind: CallKind,
         vararg targets: TargetEntry = arrayOf(one, two),
@@ -98,7 +114,7 @@
             isIdentified = isIdentified,
         )
         val policy = ScriptedPolicy(targets.toList(), null)
-        return Exchange(call, policy, RetryBudget(1.0, 10)).also { it.start(start) }
+        return Exchange(call, policy, RetryBudget(1.0, 10))
     }
 
     private fun respond(
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -1,6 +1,7 @@
 /** Client connection pool of one event loop. */
 package burdockspread.forward.http
 
+import burdockspread.forward.exchange.ConnectionUse
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -60,14 +61,15 @@
     private val idle = HashMap<String, ArrayDeque<IdleConnection>>()
     private val distrustedUntil = HashMap<String, Long>()
 
-    /** Sends [request] to [address] over an idle or a new connection. */
+    /** Sends [request] to [address] over a connection that [use] allows. */
     public fun send(
         address: String,
         request: FullHttpRequest,
         handler: ResponseHandler,
+        use: ConnectionUse = ConnectionUse.SHARED,
     ): OutgoingRequest {
-        val sent = PooledRequest(address, request, handler)
-        val channel = takeIdle(address)
+        val sent = PooledRequest(address, request, handler, use)
+        val channel = if (use.takesIdle) takeIdle(address) else null
         if (channel != null) {
             sent.start(channel)
         } else {
@@ -122,6 +124,7 @@
         private val address: String,
         private val request: FullHttpRequest,
         private val handler: ResponseHandler,
+        private val use: ConnectionUse,
     ) : OutgoingRequest {
         private var channel: Channel? = null
         private var isCancelled = false
@@ -162,7 +165,8 @@
             receiver?.detach()
             open.config().isAutoRead = true
             if (receiver?.hasUnparsedBytes == true) receiver.onUnsolicitedBytes()
-            val kept = reusable && open.isActive && receiver?.hasUnparsedBytes == false
+            val mayBeKept = reusable && use.isKept && open.isActive
+            val kept = mayBeKept && receiver?.hasUnparsedBytes == false
             if (kept) returnToPool(address, open, receiver) else open.close()
         }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
@@ -112,7 +112,8 @@
     private fun send(effect: ExchangeEffect.Send) {
         sentAttemptNumber = effect.attemptNumber
         val handler = AttemptResponseHandler(effect.attemptNumber)
-        outgoing = context.connections.send(effect.target.address, encode(effect), handler)
+        val address = effect.target.address
+        outgoing = context.connections.send(address, encode(effect), handler, effect.connection)
     }
 
     private fun encode(send: ExchangeEffect.Send): DefaultFullHttpRequest {
