Keep health checks off the connections of requests

Callers saw: an order was answered 503 "not run" although its target ran it. Cause: the checks of silent targets carry no id and took kept connections from the pool of the requests, so that a second copy of a refused check arrived as the response to the order. Likewise a late response to a request could count as the sign of life of its target.

The checks have a pool of their own, on which they reuse connections.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -41,6 +41,9 @@
 ) : CallerHandler {
     private val router = RequestRouter(System.nanoTime())
     private val targetConnections = Connections(transport, transport.requests)
+
+    /** Responses to probes carry no id, so they must not share connections with requests. */
+    private val probeConnections = Connections(transport, transport.requests)
     private val callers = LinkedHashSet<CallerConnection>()
     private val context = RunnerContext(
         loop = transport.requests,
@@ -178,7 +181,7 @@
                 Unpooled.EMPTY_BUFFER,
             )
         request.headers()["Host"] = address
-        LivenessProbe(targetConnections, transport.requests, onResult).start(address, request)
+        LivenessProbe(probeConnections, transport.requests, onResult).start(address, request)
     }
 
     private object IgnoringListener : CallerConnectionListener {
