Send a request once more to the same target over a new connection

Targets saw: an order ran twice. Cause: a request that was refused may go to the same target again where the pool has no other, on the kept connection of the first attempt. A second copy of the refusal, which has the request's id, was taken for the response to the second attempt, which then ran, and a third was sent. As the response to the last attempt it would be answered 503.

Ids can't tell the two apart, so the connection does: the exchange core asks for a new connection to an address that the request was already sent to.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/AttemptHistory.kt
@@ -15,6 +15,9 @@
     private val kind = call.route.kind
     private var failedTargets: PersistentSet<TargetId> = persistentSetOf()
 
+    /** Addresses to which the request was sent. */
+    private var addresses: PersistentSet<String> = persistentSetOf()
+
     /** Attempts that reached the intended target; limited by the route's maximum attempts. */
     private var reached = 0
 
@@ -33,9 +36,15 @@
     /** Targets that have failed the request. */
     val avoidedTargets: ImmutableSet<TargetId> get() = failedTargets
 
-    /** Returns which connections may carry the next attempt. */
-    fun connectionUse(): ConnectionUse =
-        if (call.isIdentified) ConnectionUse.SHARED else ConnectionUse.EXCLUSIVE
+    /**
+     * Returns which connections may carry the next attempt, at [target]. The response to an earlier
+     * attempt there has the same id and may arrive again on its connection.
+     */
+    fun connectionUse(target: TargetEntry): ConnectionUse = when {
+        !call.isIdentified -> ConnectionUse.EXCLUSIVE
+        target.address in addresses -> ConnectionUse.NEW
+        else -> ConnectionUse.SHARED
+    }
 
     /**
      * Records a send to [target]. Returns the target itself if it holds the replica of an earlier
@@ -45,6 +54,7 @@
         count++
         reached++
         delivered++
+        addresses = addresses.add(target.address)
         val source = replica?.takeIf { it.id == target.id }
         if (source != null) replica = null
         return source
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -184,7 +184,7 @@
     }
 
     private fun send(placed: PlacementDecision.Placed, now: Instant) {
-        val connection = history.connectionUse()
+        val connection = history.connectionUse(placed.target)
         val fromReplica = history.onSent(placed.target)
         val attempt = Attempt(history.count, placed.target, placed.replicaTarget, now)
         current = attempt
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseOwnershipTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseOwnershipTest.kt
@@ -87,6 +87,16 @@
         assertEquals(ConnectionUse.EXCLUSIVE, sent(exchange.start(start)))
     }
 
+    // A repeated refusal was taken for the response to the next attempt; the request ran twice.
+    @Test
+    fun `another attempt at the same target has a new connection`() {
+        val exchange = exchange(CallKind.NON_IDEMPOTENT, one, two, one)
+        val misdirected = head(421, notExecuted = true, sealed = false)
+        assertEquals(ConnectionUse.SHARED, sent(exchange.start(start)))
+        assertEquals(ConnectionUse.SHARED, sent(respond(exchange, misdirected)))
+        assertEquals(ConnectionUse.NEW, sent(respond(exchange, misdirected, attemptNumber = 2)))
+    }
+
     private fun sent(effects: List<ExchangeEffect>): ConnectionUse =
         effects.filterIsInstance<ExchangeEffect.Send>().single().connection
 
