--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -68,7 +68,7 @@
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
-        if (head.requestId != null && head.requestId != call.id) {
+        if (!head.belongsTo(call)) {
             attempt.skipResponse(options)?.let { rejectResponse(attempt, it, now) }
             return@ifCurrent
         }
@@ -170,6 +170,7 @@
     }
 
     private fun send(placed: PlacementDecision.Placed, now: Instant) {
+        val connection = history.connectionUse(placed.target)
         val fromReplica = history.onSent(placed.target)
         val attempt = Attempt(history.count, placed.target, placed.replicaTarget, now)
         current = attempt
@@ -180,6 +181,7 @@
             resumeAfterEventId = emitter.lastEventId,
             replicaAddress = fromReplica?.address,
             replicaTarget = placed.replicaTarget,
+            connection = connection,
         )
         listener.onSent(call, send, now)
         emitter.emit(send)
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
@@ -26,7 +26,7 @@
     fun `whatever happens, each promise holds`(
         @ForAll kind: CallKind,
         @ForAll @Size(max = 30) events: List<
-            @IntRange(min = 0, max = 17)
+            @IntRange(min = 0, max = 18)
             Int,
             >,
     ) {
@@ -43,7 +43,7 @@
         @ForAll kind: CallKind,
         @ForAll @IntRange(min = 0, max = 2) free: Int,
         @ForAll @Size(max = 30) events: List<
-            @IntRange(min = 0, max = 20)
+            @IntRange(min = 0, max = 21)
             Int,
             >,
     ) {
@@ -90,7 +90,7 @@
                 4 -> head(ResponseHead(200, "call-1", false, false, null, persistentListOf()))
                 5 -> head(ResponseHead(500, "call-1", true, false, null, persistentListOf()))
                 6 -> head(ResponseHead(503, "call-1", false, true, null, persistentListOf()))
-                7 -> head(ResponseHead(421, null, false, true, null, persistentListOf()))
+                7 -> head(ResponseHead(421, "call-1", false, true, null, persistentListOf()))
                 8 -> body("id: ${now.toEpochMilliseconds()}\n\n")
                 9 -> body("id: 5\ndat")
                 10 -> body("x".repeat(100_000))
@@ -101,7 +101,8 @@
                 15 -> exchange.onTimer(now, ZERO)
                 16 -> exchange.onTimer(now, 2.seconds)
                 17 -> exchange.onProbe(attempt, false, now)
-                18, 19 -> decide(PlacementDecision.Placed(Fixture.target("spare"), null))
+                18 -> head(ResponseHead(503, null, false, true, null, persistentListOf()))
+                19, 20 -> decide(PlacementDecision.Placed(Fixture.target("spare"), null))
                 else -> decide(
                     PlacementDecision.Refused(Refusal(ErrorCode.OVERLOADED, "full", 1.seconds)),
                 )
@@ -117,8 +118,10 @@
 
         private fun head(head: ResponseHead): List<ExchangeEffect> {
             if (!isActive || headSeen != null) return emptyList()
-            if (head.requestId != "other") headSeen = head
-            return exchange.onResponseHead(attempt, head, now)
+            val effects = exchange.onResponseHead(attempt, head, now)
+            if (head.requestId != "call-1") return effects + exchange.onEnd(attempt, true, now)
+            headSeen = head
+            return effects
         }
 
         private fun body(text: String): List<ExchangeEffect> = if (headSeen ==
