Close idle callers' connections only under a limit they know, and lose nothing

Callers saw connections closed while a request arrived on them, beside a change of the idle limit or a stop. closeExpired applied the newest idle_timeout_ms to connections that had become idle under a longer one, counted a head that had arrived in part as idle, ran before what the kernel held was read, and closed at once, so that crossing bytes were answered by a reset, which also destroys what the caller has not read.

A connection now ends as idle only after the longest limit that was in force since it became idle, or that a response told (Keep-Alive: timeout=<whole seconds>, set by the host only: endToEnd drops the targets'), and a second for messages under way. A head in part is a request in progress and is refused with 408 after header_timeout. GracefulClose writes what is queued, shuts the output down, discards for 300 ms and closes; idle, draining and refused connections, last responses and aborted ones end so (an aborted response without a length: by a reset). It is bounded by 30 s for a caller that reads nothing. closeGracefully(now) ends a connection for a host that exits: after the response in progress, with 503 for a request that arrived in part, else after reading once more.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -159,10 +159,9 @@
 
     /** Logs the end of a caller's connection; a warning if a request was lost with it. */
     fun onCallerConnectionEnded(end: CallerConnectionEnd) {
-        val cause = end.cause?.let { "${it::class.qualifiedName}: ${it.message}" }
         val event = stateEvent("caller_connection_closed")
             .with("reason", end.reason.name.lowercase())
-            .with("cause", cause.orEmpty())
+            .with("cause", end.cause?.let(::describe).orEmpty())
             .with("state", end.state.name.lowercase())
             .with("caller", end.caller)
             .with("request", end.requestId.orEmpty())
@@ -174,12 +173,23 @@
         if (end.dropsRequest) event.warn() else event.info(requestLimiter)
     }
 
-    /** Logs a request that arrived after its connection's end for [reason] was decided. */
-    fun onCallerRequestDropped(id: String?, reason: String): Unit =
-        stateEvent("caller_request_dropped")
+    /**
+     * Logs a request that arrived after its connection's end for [reason] was decided; a warning
+     * unless a response had told the caller of the end.
+     */
+    fun onCallerRequestDropped(id: String?, reason: CallerConnectionEnd.Reason) {
+        val event = stateEvent("caller_request_dropped")
             .with("request", id.orEmpty())
-            .with("reason", reason)
-            .warn()
+            .with("reason", reason.name.lowercase())
+        if (reason.isAnnounced) event.info(requestLimiter) else event.warn()
+    }
+
+    /** Logs that something could not be written to the [caller] whose connection was ending. */
+    fun onCallerWriteFailed(caller: String, cause: Throwable): Unit =
+        stateEvent("caller_write_failed")
+            .with("caller", caller)
+            .with("cause", describe(cause))
+            .info(requestLimiter)
 
     /** Logs an unexpected exception, which ended the request with [id]. */
     fun onInternalError(id: String, cause: Exception): Unit = stateEvent("internal_error")
@@ -199,6 +209,8 @@
             .with("route", call.route.name)
             .with("ms", (now - call.receivedAt).inWholeMilliseconds.toString())
 
+    private fun describe(cause: Throwable) = "${cause::class.qualifiedName}: ${cause.message}"
+
     private fun stateEvent(event: String): StringMapMessage =
         StringMapMessage(CAPACITY).with("event", event)
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -139,9 +139,13 @@
     fun onCallerRequestDropped(id: String?, reason: CallerConnectionEnd.Reason) {
         val name = reason.name.lowercase()
         count("burdock_forward_caller_requests_dropped_total", "reason", name)
-        delegate.onCallerRequestDropped(id, name)
+        delegate.onCallerRequestDropped(id, reason)
     }
 
+    /** Logs that something could not be written to the [caller] whose connection was ending. */
+    fun onCallerWriteFailed(caller: String, cause: Throwable): Unit =
+        delegate.onCallerWriteFailed(caller, cause)
+
     /** Counts an unexpected exception, which ended the request with [id]. */
     fun onInternalError(id: String, cause: Exception) {
         count("burdock_forward_internal_errors_total")
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -101,6 +101,9 @@
     override fun onRequestDropped(id: String?, reason: CallerConnectionEnd.Reason): Unit =
         metrics.onCallerRequestDropped(id, reason)
 
+    override fun onWriteFailed(caller: String, cause: Throwable): Unit =
+        metrics.onCallerWriteFailed(caller, cause)
+
     override fun onRequest(
         request: BufferedRequest,
         writer: ResponseWriter,
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -3,36 +3,22 @@
 
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
-import burdockspread.forward.exchange.ResponseHead
 import burdockspread.forward.http.CallerConnectionEnd.Reason
 import burdockspread.forward.http.CallerConnectionEnd.State
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.PrematureChannelClosureException
-import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import java.io.ByteArrayOutputStream
-import java.util.Locale
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /** Reads one request at a time and queues pipelined ones. Confined to the channel's event loop. */
@@ -41,17 +27,20 @@
     private val now: () -> Instant,
     private val connections: MutableSet<CallerConnection>,
     private val decoder: CallerDecoder,
-) : SimpleChannelInboundHandler<HttpObject>(false) {
+) : SimpleChannelInboundHandler<HttpObject>(false),
+    ResponseOwner {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var ending: GracefulClose
     private lateinit var caller: String
     private val pipelined = ArrayDeque<HttpObject>()
-    private var head: HttpRequest? = null
-    private var startedAt: Instant = now()
-    private var body = ByteArrayOutputStream()
+    private val idle = IdleLimit(now(), handler.limits().idleTimeout)
+    private val partial = PartialRequest()
     private var listener: CallerConnectionListener? = null
-    private var isResponding = false
-    private var isClosing = false
-    private var idleSince: Instant = now()
+    private var writer: ChannelResponseWriter? = null
+    private var isStopping = false
+
+    /** Whether the host was draining when the request had been read. */
+    private var wasDraining = false
     private var answered = 0
 
     /** Caller's id of the request that is being read or answered. */
@@ -59,10 +48,20 @@
 
     /** Why the connection ends; null until that is decided. */
     private var endReason: Reason? = null
+    private val isClosing: Boolean get() = endReason != null
+    private val isResponding: Boolean get() = writer != null
+    private val state: State
+        get() = when {
+            isResponding -> State.RESPONDING
+            partial.hasHead -> State.BODY
+            decoder.unfinishedBytes > 0 -> State.HEAD
+            else -> State.IDLE
+        }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         caller = context.channel().remoteAddress().toString().removePrefix("/")
+        ending = GracefulClose(context) { handler.onWriteFailed(caller, it) }
         connections += this
     }
 
@@ -72,62 +71,102 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return drop(message)
-        if (isResponding) {
-            pipelined.addLast(message)
-            if (pipelined.size > MAX_PIPELINED) context.channel().config().isAutoRead = false
-            return
-        }
-        read(message)
+        pipelined.addLast(message)
+        readQueue()
     }
 
-    /** Closes connections that are idle or whose request takes too long. Called every 500 ms. */
+    /** Ends connections that are idle or whose request takes too long. Called every 500 ms. */
     fun closeExpired(at: Instant) {
-        val limits = handler.limits()
-        when {
-            isResponding || isClosing -> Unit
-            head == null && handler.isDraining() -> close(Reason.DRAINING, at)
-            head == null && at - idleSince > limits.idleTimeout -> close(Reason.IDLE, at)
-            head != null && at - startedAt > limits.headerTimeout + BODY_READ_TIMEOUT -> {
-                recordEnd(Reason.REQUEST_TIMEOUT, at, limits.headerTimeout + BODY_READ_TIMEOUT)
-                reject(Refusal(ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"))
-            }
-        }
+        noteLimits(at)
+        if (expiry(at) != null) afterNextRead { now -> expiry(now)?.let { end(it, now) } }
+    }
+
+    /**
+     * Ends the connection because the host exits: after the response in progress, with a refusal of
+     * a request that has arrived in part, or else as soon as what has arrived was read.
+     */
+    fun closeGracefully(at: Instant) {
+        isStopping = true
+        noteLimits(at)
+        if (!isResponding) afterNextRead { now -> expiry(now)?.let { end(it, now) } }
     }
 
     /** Records that the host exits, which ends the connection. */
     fun onStopped(at: Instant): Unit = recordEnd(Reason.STOPPED, at)
 
+    private fun noteLimits(at: Instant) {
+        idle.raise(handler.limits().idleTimeout)
+        partial.noteHead(state == State.HEAD, at)
+    }
+
+    /** Returns why the connection has to end at [at], or null. */
+    private fun expiry(at: Instant): Reason? = when (state) {
+        State.RESPONDING -> null
+        State.IDLE -> when {
+            isClosing -> null
+            isStopping -> Reason.STOPPED
+            handler.isDraining() -> Reason.DRAINING
+            idle.isExceeded(at) -> Reason.IDLE
+            else -> null
+        }
+        State.HEAD, State.BODY -> when {
+            isClosing -> null
+            isStopping -> Reason.STOPPED
+            partial.isLate(at, handler.limits()) -> Reason.REQUEST_TIMEOUT
+            else -> null
+        }
+    }
+
+    private fun end(reason: Reason, at: Instant) {
+        val isReading = state != State.IDLE
+        recordEnd(reason, at, if (isReading) partial.limit(handler.limits()) else idle.limit)
+        when {
+            !isReading -> ending.start()
+            reason == Reason.STOPPED ->
+                reject(Refusal(ErrorCode.DRAINING, "the host stops", RETRY_AFTER_STOP))
+            else -> reject(Refusal(ErrorCode.REQUEST_TIMEOUT, "the request did not arrive in time"))
+        }
+    }
+
+    /** Runs [decide] after the event loop has read what the kernel holds. */
+    private fun afterNextRead(decide: (Instant) -> Unit) {
+        val loop = context.channel().eventLoop()
+        loop.schedule({ decide(now()) }, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     /** Reports the end of the connection unless one was reported before. */
     private fun recordEnd(
         reason: Reason,
         at: Instant,
-        limit: Duration = handler.limits().idleTimeout,
+        limit: Duration = idle.limit,
         cause: Throwable? = null,
     ) {
         if (endReason != null) return
+        val stateAtEnd = state
         endReason = reason
-        val state = state()
         handler.onConnectionEnded(
             CallerConnectionEnd(
                 reason = reason,
-                state = state,
+                state = stateAtEnd,
                 caller = caller,
                 cause = cause,
                 answered = answered,
                 requestId = requestId,
                 unfinishedBytes = decoder.unfinishedBytes,
                 pipelinedMessages = pipelined.size,
-                idle = if (state == State.RESPONDING) Duration.ZERO else at - idleSince,
+                idle = if (stateAtEnd == State.RESPONDING) Duration.ZERO else at - idle.since,
                 limit = limit,
             ),
         )
     }
 
-    private fun state() = when {
-        isResponding -> State.RESPONDING
-        head != null -> State.BODY
-        decoder.unfinishedBytes > 0 -> State.HEAD
-        else -> State.IDLE
+    /** Reads queued messages until a response is in progress. */
+    private fun readQueue() {
+        while (!isResponding && !isClosing) {
+            read(pipelined.removeFirstOrNull() ?: break)
+        }
+        if (isClosing) discardQueue()
+        context.channel().config().isAutoRead = pipelined.size <= MAX_PIPELINED
     }
 
     private fun read(message: HttpObject) {
@@ -135,70 +174,77 @@
         if (failure != null) {
             discard(message)
             if (failure is PrematureChannelClosureException) recordEnd(Reason.CALLER_CLOSED, now())
-            return reject(malformed(failure))
+            return reject(undecodable(failure))
         }
         if (message is HttpRequest) onHead(message)
         if (message is HttpContent) onContent(message)
     }
 
     private fun onHead(request: HttpRequest) {
-        head = request
+        partial.begin(request, now())
         requestId = handler.requestId(request)
-        startedAt = now()
-        body = ByteArrayOutputStream()
-        val transfer = request.headers().getAll("Transfer-Encoding")
-        val length = HttpUtil.getContentLength(request, 0L)
-        when {
-            transfer.size > 1 || transfer.any { !it.trim().equals("chunked", ignoreCase = true) } ->
-                reject(Refusal(ErrorCode.MALFORMED_REQUEST, "unsupported Transfer-Encoding"))
-            request.headers().getAll("Host").size != 1 ->
-                reject(Refusal(ErrorCode.MALFORMED_REQUEST, "exactly one Host header is required"))
-            !request.uri().startsWith('/') ->
-                reject(Refusal(ErrorCode.MALFORMED_REQUEST, "the request target is not a path"))
-            length > handler.limits().maxBodyBytes -> reject(tooLarge())
-            HttpUtil.is100ContinueExpected(request) -> context.writeAndFlush(
+        val refusal = request.refusal(handler.limits())
+        if (refusal != null) return reject(refusal)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE),
             )
         }
     }
 
     private fun onContent(content: HttpContent) {
-        val request = head
-        if (request == null || isClosing) return discard(content)
-        body.write(ByteBufUtil.getBytes(content.content()))
+        if (!partial.hasHead || isClosing) return discard(content)
+        partial.append(content)
         content.release()
-        if (body.size() > handler.limits().maxBodyBytes) return reject(tooLarge())
+        if (partial.bodySize > handler.limits().maxBodyBytes) return reject(bodyTooLarge())
         if (content !is LastHttpContent) return
-        isResponding = true
-        val responseWriter = ChannelResponseWriter(request)
-        val buffered = BufferedRequest(request, body.toByteArray(), startedAt)
-        head = null
-        body = ByteArrayOutputStream()
-        val accepted = handler.onRequest(buffered, responseWriter)
-        if (isResponding) listener = accepted
+        val request = partial.complete()
+        val responseWriter = respondTo(request.head)
+        val accepted = handler.onRequest(request, responseWriter)
+        if (writer === responseWriter) listener = accepted
     }
 
-    /** Ends the response and continues with pipelined requests. */
-    private fun readNext() {
-        isResponding = false
-        listener = null
-        requestId = null
-        idleSince = now()
-        if (isClosing) return
-        while (!isResponding && !isClosing) read(pipelined.removeFirstOrNull() ?: break)
-        context.channel().config().isAutoRead = true
+    private fun respondTo(request: HttpRequest?): ChannelResponseWriter {
+        wasDraining = handler.isDraining()
+        return ChannelResponseWriter(request, context, this).also { writer = it }
     }
 
     private fun reject(refusal: Refusal) {
         handler.onRejected(refusal)
-        isResponding = true
-        ChannelResponseWriter(null).refuse(refusal)
+        partial.clear()
+        respondTo(null).refuse(refusal)
     }
 
-    private fun close(reason: Reason, at: Instant, cause: Throwable? = null) {
-        recordEnd(reason, at, cause = cause)
-        isClosing = true
-        context.close()
+    override fun onResponseBegins(isKeepAlivePossible: Boolean): Duration? {
+        val isKept = isKeepAlivePossible && !isClosing && !isStopping && !wasDraining
+        return if (isKept) handler.limits().idleTimeout.also(idle::promise) else null
+    }
+
+    override fun onResponseEnds(isKept: Boolean, refusal: Refusal?) {
+        val at = now()
+        answered++
+        if (!isKept) {
+            recordEnd(if (refusal == null) Reason.RESPONSE_COMPLETE else Reason.REFUSED, at)
+            ending.start()
+        }
+        finishResponse(at)
+    }
+
+    override fun onResponseAborted(isFramed: Boolean) {
+        val at = now()
+        recordEnd(Reason.RESPONSE_ABORTED, at)
+        if (isFramed) ending.start() else ending.reset()
+        finishResponse(at)
+    }
+
+    /** Continues with pipelined requests. */
+    private fun finishResponse(at: Instant) {
+        writer = null
+        listener = null
+        requestId = null
+        idle.restart(at, handler.limits().idleTimeout)
+        readQueue()
+        if (isStopping) closeGracefully(at)
     }
 
     private fun drop(message: HttpObject) {
@@ -209,131 +255,47 @@
         discard(message)
     }
 
-    private fun discard(message: HttpObject) {
-        if (message is HttpContent) message.release()
-    }
-
-    private fun malformed(cause: Throwable): Refusal = when (cause) {
-        is TooLongFrameException -> Refusal(ErrorCode.HEADERS_TOO_LARGE, cause.message.orEmpty())
-        else -> Refusal(ErrorCode.MALFORMED_REQUEST, cause.message.orEmpty())
+    private fun discardQueue() {
+        pipelined.forEach(::discard)
+        pipelined.clear()
     }
 
-    private fun tooLarge() = Refusal(ErrorCode.BODY_TOO_LARGE, "the body exceeds the limit")
-
     override fun channelInactive(context: ChannelHandlerContext) {
         recordEnd(Reason.CALLER_CLOSED, now())
-        isClosing = true
-        pipelined.forEach(::discard)
-        pipelined.clear()
+        discardQueue()
+        abandonRequest()
+    }
+
+    private fun abandonRequest() {
         val activeListener = listener
         listener = null
         activeListener?.onCallerGone()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        listener?.onWritable(context.channel().isWritable)
+        val isWritable = context.channel().isWritable
+        listener?.onWritable(isWritable)
     }
 
     @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (isClosing) handler.onWriteFailed(caller, cause)
         recordEnd(Reason.ERROR, now(), cause = cause)
         context.close()
     }
 
-    private inner class ChannelResponseWriter(private val request: HttpRequest?) : ResponseWriter {
-        private val isHead = request?.method() == HttpMethod.HEAD
-        private val supportsChunks = request?.protocolVersion() != HttpVersion.HTTP_1_0
-
-        /**
-         * Whether to keep the connection; after a partially read request, the remaining bytes would
-         * be misread as a new one.
-         */
-        private val keepAlive =
-            request != null &&
-                HttpUtil.isKeepAlive(request) &&
-                supportsChunks &&
-                !handler.isDraining()
-
-        override fun begin(head: ResponseHead, length: Int?) {
-            val status = HttpResponseStatus.valueOf(head.status)
-            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
-            head.headers.forEach { response.headers().add(it.name, it.value) }
-            val bodyLength = if (isHead) head.length?.toInt() else length
-            when {
-                bodyLength != null && bodyAllowed(head.status) ->
-                    response.headers()["Content-Length"] = bodyLength
-                bodyLength == null && !isHead && supportsChunks ->
-                    response.headers()["Transfer-Encoding"] = "chunked"
-            }
-            start(response)
-        }
-
-        override fun body(bytes: ByteArray) {
-            if (!isHead) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-        }
-
-        override fun end() {
-            val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            answered++
-            if (!keepAlive) {
-                recordEnd(Reason.RESPONSE_COMPLETE, now())
-                isClosing = true
-                written.addListener(ChannelFutureListener.CLOSE)
-            }
-            readNext()
-        }
-
-        override fun refuse(refusal: Refusal) {
-            val text = "${refusal.code.number} ${refusal.code.name}: ${refusal.detail}\n"
-            val status = HttpResponseStatus.valueOf(refusal.code.httpStatus)
-            val content = Unpooled.copiedBuffer(text, Charsets.UTF_8)
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-            response.headers()["Content-Type"] = "text/plain"
-            response.headers()["Content-Length"] = text.toByteArray().size
-            refusal.retryAfter?.let { response.headers()["Retry-After"] = seconds(it) }
-            start(response)
-            answered++
-            if (!keepAlive) lingerAndClose()
-            readNext()
-        }
-
-        /**
-         * Closes after a delay, since unread bytes would reset the connection before the caller has
-         * read the response.
-         */
-        private fun lingerAndClose() {
-            recordEnd(Reason.REFUSED, now())
-            isClosing = true
-            (context.channel() as? SocketChannel)?.shutdownOutput()
-            val loop = context.channel().eventLoop()
-            loop.schedule({ context.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
-        }
-
-        override fun abort() {
-            close(Reason.RESPONSE_ABORTED, now())
-            readNext()
-        }
-
-        private fun start(response: HttpResponse) {
-            if (!keepAlive) (response as HttpMessage).headers()["Connection"] = "close"
-            context.writeAndFlush(response)
-        }
-
-        private fun bodyAllowed(status: Int) =
-            status >= FIRST_STATUS_WITH_BODY && status !in STATUSES_WITHOUT_BODY
-
-        private fun seconds(wait: Duration): String =
-            "%.3f".format(Locale.ROOT, wait.toDouble(DurationUnit.SECONDS))
-    }
-
     private companion object {
         /** Number of pipelined messages after which the connection is no longer read. */
         const val MAX_PIPELINED = 64
-        const val FIRST_STATUS_WITH_BODY = 200
-        const val LINGER_MILLIS = 300L
-        val STATUSES_WITHOUT_BODY = setOf(204, 304)
 
-        /** Time to read a body on top of the header timeout; the largest takes about 0.1 s. */
-        val BODY_READ_TIMEOUT = 10.seconds
+        /** Longer than the event loop takes to start its next round, in which it reads. */
+        const val READ_DELAY_MILLIS = 20L
+
+        /** Callers open a new connection, which reaches another host. */
+        val RETRY_AFTER_STOP = 50.milliseconds
     }
 }
+
+private fun discard(message: HttpObject) {
+    if (message is HttpContent) message.release()
+}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnectionEnd.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnectionEnd.kt
@@ -64,6 +64,9 @@
 
         /** Whether a request that was not read completely was answered. */
         internal val answersUnfinished: Boolean get() = this == REFUSED || this == REQUEST_TIMEOUT
+
+        /** Whether a response told the caller that the connection ends. */
+        internal val isAnnounced: Boolean get() = this == RESPONSE_COMPLETE || answersUnfinished
     }
 
     /** What a connection is doing. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
@@ -30,6 +30,9 @@
      */
     public fun onRequestDropped(id: String?, reason: CallerConnectionEnd.Reason)
 
+    /** Called when something could not be written to the [caller] whose connection was ending. */
+    public fun onWriteFailed(caller: String, cause: Throwable)
+
     /** Whether the host is draining, so that connections close after their current response. */
     public fun isDraining(): Boolean
 }
