Tell callers of the drain in each response, and let a first request arrive

Callers whose request had been read before SIGTERM were answered without Connection: close, since keepAlive was fixed when the writer was created; the connection was closed within 500 ms, beside their next request.

Whether a connection is kept is now decided when the head of the response is written, and a connection without a request has header_timeout for its first one.

Failed before (CallerDrainTest on, by hand): - a response that begins after SIGTERM says that the connection ends: :26 Expected the char sequence to contain the substring - a connection whose first request is under way stays open: :60 ClosedChannel

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -38,9 +38,6 @@
     private var listener: CallerConnectionListener? = null
     private var writer: ChannelResponseWriter? = null
     private var isStopping = false
-
-    /** Whether the host was draining when the request had been read. */
-    private var wasDraining = false
     private var answered = 0
 
     /** Caller's id of the request that is being read or answered. */
@@ -105,7 +102,7 @@
         State.IDLE -> when {
             isClosing -> null
             isStopping -> Reason.STOPPED
-            handler.isDraining() -> Reason.DRAINING
+            handler.isDraining() && !expectsFirstRequest(at) -> Reason.DRAINING
             idle.isExceeded(at) -> Reason.IDLE
             else -> null
         }
@@ -117,6 +114,10 @@
         }
     }
 
+    /** Whether the first request of a new connection may be under way. */
+    private fun expectsFirstRequest(at: Instant) =
+        answered == 0 && at - idle.since <= handler.limits().headerTimeout
+
     private fun end(reason: Reason, at: Instant) {
         val isReading = state != State.IDLE
         recordEnd(reason, at, if (isReading) partial.limit(handler.limits()) else idle.limit)
@@ -204,10 +205,8 @@
         if (writer === responseWriter) listener = accepted
     }
 
-    private fun respondTo(request: HttpRequest?): ChannelResponseWriter {
-        wasDraining = handler.isDraining()
-        return ChannelResponseWriter(request, context, this).also { writer = it }
-    }
+    private fun respondTo(request: HttpRequest?): ChannelResponseWriter =
+        ChannelResponseWriter(request, context, this).also { writer = it }
 
     private fun reject(refusal: Refusal) {
         handler.onRejected(refusal)
@@ -216,7 +215,7 @@
     }
 
     override fun onResponseBegins(isKeepAlivePossible: Boolean): Duration? {
-        val isKept = isKeepAlivePossible && !isClosing && !isStopping && !wasDraining
+        val isKept = isKeepAlivePossible && !isClosing && !isStopping && !handler.isDraining()
         return if (isKept) handler.limits().idleTimeout.also(idle::promise) else null
     }
 
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerDrainTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerDrainTest.kt
@@ -15,6 +15,18 @@
 class CallerDrainTest {
     private val fixture = CallerFixture()
 
+    /** Guards against callers that reuse a connection which the host is about to close. */
+    @Test
+    fun `a response that begins after SIGTERM says that the connection ends`() {
+        fixture.send(REQUEST)
+        fixture.drains = true
+        fixture.writers.single().begin(head(), 2)
+        fixture.writers.single().body("ok".encodeToByteArray())
+        fixture.writers.single().end()
+        assertContains(fixture.written().lowercase(), "connection: close")
+        assertEquals(Reason.RESPONSE_COMPLETE, fixture.ends.single().reason)
+    }
+
     /** Guards against requests lost because the kernel held them when the sweep ran. */
     @Test
     fun `a request that had arrived when a draining connection was found idle is answered`() {
@@ -40,6 +52,15 @@
         assertFalse(fixture.channel.isOpen)
     }
 
+    /** Guards against requests lost on connections that were opened during the drain. */
+    @Test
+    fun `a connection whose first request is under way stays open`() {
+        fixture.drains = true
+        fixture.sweepAfter(500.milliseconds)
+        fixture.send(REQUEST)
+        assertEquals(1, fixture.received.size)
+    }
+
     /** Guards against requests lost because they had arrived in part. */
     @Test
     fun `a request that arrives in part during the drain is answered`() {
