--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -65,6 +65,3 @@
         return null
     }
 }
-
-/** Returns whether the response is signed and belongs to [call]. */
-internal fun ResponseHead.isValidFor(call: Call): Boolean = sealed && requestId == call.id
