Let nothing but its events follow in a stream that has begun

Cause: the emitter's begin ignored a second head, so each branch of the exchange had to ask whether one had been sent; completeResponse and buffer did not. Change: the emitter's phase (NotBegun, Streaming, Relaying, Ended) has the operations that may follow: respond, refuse and relay exist only before the head, events not in a relayed response, abort only after the head. In a begun stream any other response is a failed attempt: retried where allowed, else the response is aborted. A success counts as a stream unless it is 204, 205 or states another Content-Type; before the head such a response is forwarded as it is. The rest of a resumed stream is dropped if the caller has its event. Why it works: a branch that forgets to ask does not compile.

No expectation of an existing test changed.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -67,8 +67,18 @@
 ) {
     public val isSuccess: Boolean get() = status in SUCCESS
 
+    /** Whether the response is a success whose body is, as far as it states a type, events. */
+    public val isEventStream: Boolean
+        get() {
+            val type = headers.firstOrNull { it.name.equals("Content-Type", ignoreCase = true) }
+            val isOfType = type?.value?.startsWith(EVENT_STREAM, ignoreCase = true) != false
+            return isSuccess && status !in WITHOUT_BODY && isOfType
+        }
+
     private companion object {
         val SUCCESS = 200..299
+        val WITHOUT_BODY = 204..205
+        const val EVENT_STREAM = "text/event-stream"
     }
 }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -24,6 +24,7 @@
     private val emitter = ResponseEmitter(call, listener)
     private val assembly = ResponseAssembly(call, emitter, listener, options)
     private val history = AttemptHistory(call, budget)
+    private val ending = FinalResponse(call, emitter, history)
     private val silence = SilencePolicy(call.route, options)
     private val placement = NextPlacement(call, policy, history, options)
     private val takeover = Takeover(call, placement, history, listener)
@@ -31,9 +32,6 @@
     /** The attempt in flight; a placement that is queued meanwhile is its takeover. */
     private var current: Attempt? = null
 
-    /** Error response of a target, forwarded if no later attempt succeeds. */
-    private var lastErrorResponse: BufferedResponse? = null
-
     override val isEnded: Boolean get() = emitter.isEnded
 
     override val wakeAt: Instant
@@ -76,7 +74,7 @@
         takeover.onReceived(attempt, now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.head = head
-        attempt.isStreaming = kind.isStream && head.isSuccess && head.isValidFor(call)
+        attempt.isStreaming = kind.isStream && head.isEventStream && head.isValidFor(call)
     }
 
     override fun onBody(
@@ -106,9 +104,10 @@
         emitter.emit(
             ExchangeEffect.Release(attempt.number, reusable && !attempt.isConnectionTainted),
         )
-        if (attempt.isStreaming || attempt.isRelaying) {
+        val phase = emitter.phase
+        if (phase is ForwardingPhase && (attempt.isStreaming || attempt.isRelaying)) {
             endAttempt(attempt, head.outcome(), "status ${head.status}", now)
-            emitter.finishStream(head, history.count, now)
+            phase.finish(head, history.count, now)
         } else {
             completeResponse(attempt, head, now)
         }
@@ -144,7 +143,10 @@
     override fun onTimer(now: Instant, timerDelay: Duration): ImmutableList<ExchangeEffect> = step {
         val attempt = current
         when {
-            now >= call.deadline -> onDeadline(now)
+            now >= call.deadline -> {
+                cancelAttempt(now)
+                ending.endAtDeadline(now)
+            }
             attempt == null -> Unit
             timerDelay > MAX_TIMER_DELAY -> attempt.onProgress(now - timerDelay)
             placement.isQueued -> Unit
@@ -155,7 +157,10 @@
 
     override fun onStop(now: Instant): ImmutableList<ExchangeEffect> = step {
         cancelAttempt(now)
-        finish(Refusal(ErrorCode.DRAINING, "the host is shutting down", SHUTDOWN_RETRY_AFTER), now)
+        ending.end(
+            Refusal(ErrorCode.DRAINING, "the host is shutting down", SHUTDOWN_RETRY_AFTER),
+            now,
+        )
     }
 
     /** Submits the request to the load policy, for the first attempt or a retry. */
@@ -165,7 +170,7 @@
         when (decision) {
             is PlacementDecision.Placed -> send(decision, now)
             is PlacementDecision.Waiting -> listener.onWaiting(call, now)
-            is PlacementDecision.Refused -> finish(decision.refusal, now)
+            is PlacementDecision.Refused -> ending.end(decision.refusal, now)
         }
     }
 
@@ -246,13 +251,22 @@
                 now,
             )
             head.status >= FIRST_SERVER_ERROR && kind.isRepeatable -> {
-                lastErrorResponse = response
+                ending.lastErrorResponse = response
                 failAttempt(attempt, AttemptOutcome.FAILED, "status ${head.status}", now)
             }
-            else -> {
-                endAttempt(attempt, head.outcome(), "status ${head.status}", now)
-                emitter.respond(response, history.count, now)
-            }
+            else -> respond(attempt, response, now)
+        }
+    }
+
+    /** Sends a complete response of a target, which cannot be a part of a stream that has begun. */
+    private fun respond(attempt: Attempt, response: BufferedResponse, now: Instant) {
+        val status = "status ${response.head.status}"
+        val phase = emitter.phase
+        if (phase is ResponseEmitter.NotBegun) {
+            endAttempt(attempt, response.head.outcome(), status, now)
+            phase.respond(response, history.count, now)
+        } else {
+            failAttempt(attempt, AttemptOutcome.FAILED, "$status does not continue the stream", now)
         }
     }
 
@@ -264,11 +278,12 @@
         now: Instant,
     ) {
         endFailedAttempt(attempt, outcome, detail, now)
-        if (attempt.isRelaying) {
-            return emitter.abort("truncated response: $detail", history.count, now)
+        val phase = emitter.phase
+        if (phase is ResponseEmitter.Relaying) {
+            return phase.abort("truncated response: $detail", history.count, now)
         }
         if (history.mayRetry(outcome, now)) return requestPlacement(now)
-        finish(exhausted(kind, history.delivered, outcome, detail), now)
+        ending.end(exhausted(kind, history.delivered, outcome, detail), now)
     }
 
     private fun endFailedAttempt(
@@ -282,21 +297,6 @@
         emitter.restart()
     }
 
-    private fun onDeadline(now: Instant) {
-        cancelAttempt(now)
-        val code =
-            if (history.delivered > 0) ErrorCode.TARGET_TIMEOUT else ErrorCode.DEADLINE_UNREACHABLE
-        finish(Refusal(code, "the deadline passed after ${history.count} attempts", null), now)
-    }
-
-    /** Ends with a target's error response, with [refusal], or by aborting a started response. */
-    private fun finish(refusal: Refusal, now: Instant) {
-        if (emitter.isHeadSent) return emitter.abort(refusal.detail, history.count, now)
-        val errorResponse = lastErrorResponse
-        if (errorResponse != null) return emitter.respond(errorResponse, history.count, now)
-        emitter.refuse(withoutNotRunClaim(refusal, kind, history.delivered), history.count, now)
-    }
-
     private fun cancelAttempt(now: Instant) {
         val attempt = current
         if (attempt == null) {
@@ -341,8 +341,3 @@
         val SHUTDOWN_RETRY_AFTER = 20.milliseconds
     }
 }
-
-private const val FIRST_SERVER_ERROR = 500
-
-private fun ResponseHead.outcome(): AttemptOutcome =
-    if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -1,6 +1,7 @@
 /** The body of a target's response on its way to the caller. */
 package burdockspread.forward.exchange
 
+import burdockspread.forward.load.AttemptOutcome
 import kotlin.time.Instant
 
 /** Forwards events and responses too large to buffer as they arrive, and buffers the others. */
@@ -15,28 +16,26 @@
     /** Handles bytes that [attempt] received; returns the limit that they exceed, if any. */
     fun onBody(attempt: Attempt, bytes: ByteArray, now: Instant): String? {
         val head = attempt.head
+        val phase = emitter.phase
         return when {
             attempt.isForeign -> attempt.skipBytes(bytes.size, options)
             head == null -> null
-            attempt.isStreaming -> forwardEvents(attempt, head, bytes, now)
-            attempt.isRelaying -> {
+            phase is ResponseEmitter.Relaying -> {
                 attempt.onProgress(now)
-                emitter.forward(head, bytes)
+                phase.forward(bytes)
                 null
             }
+            attempt.isStreaming && phase is EventPhase -> {
+                val before = emitter.eventCount
+                phase.forwardEvents(head, bytes)
+                onEvents(attempt, emitter.eventCount - before, now)
+            }
             else -> buffer(attempt, head, bytes, now)
         }
     }
 
-    private fun forwardEvents(
-        attempt: Attempt,
-        head: ResponseHead,
-        bytes: ByteArray,
-        now: Instant,
-    ): String? {
-        val before = emitter.eventCount
-        emitter.forwardEvents(head, bytes)
-        if (emitter.eventCount > before) onEvent(attempt, now)
+    private fun onEvents(attempt: Attempt, count: Int, now: Instant): String? {
+        if (count > 0) onEvent(attempt, now)
         attempt.onPartialProgress(emitter.pendingBytes, options, now)
         return if (emitter.pendingBytes > options.maxEventBytes) "an event" else null
     }
@@ -59,8 +58,10 @@
         attempt.onPartialProgress(attempt.buffer.size(), options, now)
         if (attempt.buffer.size() <= options.bufferBytes) return null
         if (!head.isValidFor(call)) return "a response without signature or id"
+        val phase = emitter.phase
+        if (phase !is ResponseEmitter.NotBegun) return "a response that is not the stream"
         attempt.isRelaying = true
-        emitter.forward(head, attempt.buffer.toByteArray())
+        phase.relay(head, attempt.buffer.toByteArray())
         attempt.buffer.reset()
         return null
     }
@@ -68,3 +69,9 @@
 
 /** Returns whether the response is signed and belongs to [call]. */
 internal fun ResponseHead.isValidFor(call: Call): Boolean = sealed && requestId == call.id
+
+internal const val FIRST_SERVER_ERROR: Int = 500
+
+/** Returns what a complete response says about the target. */
+internal fun ResponseHead.outcome(): AttemptOutcome =
+    if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
@@ -6,16 +6,17 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Instant
 
-/** Collects the effects of one step and tracks how much of the response the caller has received. */
+/**
+ * Collects the effects of one step and tracks how much of the response the caller has received.
+ * What may follow is a matter of the response's [phase]: only its operations exist.
+ */
 internal class ResponseEmitter(private val call: Call, private val listener: ExchangeListener) {
     private val framer = SseFramer(call.resumeAfterEventId)
     private var effects = persistentListOf<ExchangeEffect>()
 
-    /** Whether the response head has been sent to the caller. */
-    var isHeadSent = false
-        private set
-    var isEnded = false
+    var phase: ResponsePhase = NotBegun()
         private set
+    val isEnded: Boolean get() = phase is Ended
 
     /** Id of the last event that the caller has received. */
     val lastEventId: String? get() = framer.lastId
@@ -32,61 +33,120 @@
 
     fun takeEffects(): ImmutableList<ExchangeEffect> = effects.also { effects = persistentListOf() }
 
-    /** Forwards the events that [bytes] complete. */
-    fun forwardEvents(head: ResponseHead, bytes: ByteArray) {
-        val events = framer.feed(bytes)
-        if (events.isNotEmpty()) forward(head, events)
-    }
-
     /** Discards an incomplete event, since another attempt follows. */
     fun restart(): Unit = framer.restart()
 
-    fun forward(head: ResponseHead, bytes: ByteArray) {
-        begin(head, null)
-        emit(ExchangeEffect.Body(bytes))
+    fun onCallerGone(attempts: Int, now: Instant) {
+        phase = Ended
+        listener.onCallerGone(call, attempts, now)
     }
 
-    /** Completes a response that was forwarded as it arrived. */
-    fun finishStream(head: ResponseHead, attempts: Int, now: Instant) {
-        val remainder = framer.finishStream()
-        if (remainder.isNotEmpty()) forward(head, remainder)
-        begin(head, 0)
-        end(head, attempts, now)
+    /** Nothing has been sent to the caller, so any response may follow. */
+    inner class NotBegun : EventPhase {
+        /** Sends a complete response of a target. */
+        fun respond(response: BufferedResponse, attempts: Int, now: Instant) {
+            emit(ExchangeEffect.Begin(response.head, response.body.size))
+            if (response.body.isNotEmpty()) emit(ExchangeEffect.Body(response.body))
+            end(response.head, attempts, now)
+        }
+
+        fun refuse(refusal: Refusal, attempts: Int, now: Instant) {
+            phase = Ended
+            listener.onRefused(call, refusal, attempts, now)
+            emit(ExchangeEffect.Refuse(refusal))
+        }
+
+        /** Starts to forward a response that is too large to buffer with the [bytes] so far. */
+        fun relay(head: ResponseHead, bytes: ByteArray) {
+            emit(ExchangeEffect.Begin(head, null))
+            Relaying().also { phase = it }.forward(bytes)
+        }
+
+        override fun forwardEvents(head: ResponseHead, bytes: ByteArray): Unit =
+            sendEvents(head, framer.feed(bytes))
+
+        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
+            endStream(head, attempts, now)
     }
 
-    /** Sends a complete response of a target. */
-    fun respond(response: BufferedResponse, attempts: Int, now: Instant) {
-        begin(response.head, response.body.size)
-        if (response.body.isNotEmpty()) emit(ExchangeEffect.Body(response.body))
-        end(response.head, attempts, now)
+    /** A part of a stream has been sent, so only its further events may follow. */
+    inner class Streaming :
+        EventPhase,
+        BegunPhase {
+        override fun forwardEvents(head: ResponseHead, bytes: ByteArray): Unit =
+            sendEvents(head, framer.feed(bytes))
+
+        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
+            endStream(head, attempts, now)
+
+        override fun abort(reason: String, attempts: Int, now: Instant): Unit =
+            abortResponse(reason, attempts, now)
     }
 
-    fun refuse(refusal: Refusal, attempts: Int, now: Instant) {
-        isEnded = true
-        listener.onRefused(call, refusal, attempts, now)
-        emit(ExchangeEffect.Refuse(refusal))
+    /** A part of a large response has been sent, so only the rest of its bytes may follow. */
+    inner class Relaying :
+        ForwardingPhase,
+        BegunPhase {
+        fun forward(bytes: ByteArray): Unit = emit(ExchangeEffect.Body(bytes))
+
+        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
+            end(head, attempts, now)
+
+        override fun abort(reason: String, attempts: Int, now: Instant): Unit =
+            abortResponse(reason, attempts, now)
     }
 
-    fun abort(reason: String, attempts: Int, now: Instant) {
-        isEnded = true
-        listener.onResponseAborted(call, reason, attempts, now)
-        emit(ExchangeEffect.AbortResponse)
+    /** The response is complete, refused or aborted, or the caller has left. */
+    data object Ended : ResponsePhase
+
+    private fun sendEvents(head: ResponseHead, events: ByteArray) {
+        if (events.isEmpty()) return
+        beginStream(head, null)
+        emit(ExchangeEffect.Body(events))
     }
 
-    fun onCallerGone(attempts: Int, now: Instant) {
-        isEnded = true
-        listener.onCallerGone(call, attempts, now)
+    private fun endStream(head: ResponseHead, attempts: Int, now: Instant) {
+        sendEvents(head, framer.finishStream())
+        beginStream(head, 0)
+        end(head, attempts, now)
     }
 
-    private fun begin(head: ResponseHead, length: Int?) {
-        if (isHeadSent) return
-        isHeadSent = true
+    private fun beginStream(head: ResponseHead, length: Int?) {
+        if (phase !is NotBegun) return
         emit(ExchangeEffect.Begin(head, length))
+        phase = Streaming()
     }
 
     private fun end(head: ResponseHead, attempts: Int, now: Instant) {
-        isEnded = true
+        phase = Ended
         listener.onResponded(call, head.status, attempts, now)
         emit(ExchangeEffect.End)
     }
+
+    private fun abortResponse(reason: String, attempts: Int, now: Instant) {
+        phase = Ended
+        listener.onResponseAborted(call, reason, attempts, now)
+        emit(ExchangeEffect.AbortResponse)
+    }
+}
+
+/** How much of a response the caller has received, and what may follow. */
+internal sealed interface ResponsePhase
+
+/** A phase in which events of a stream may follow. */
+internal sealed interface EventPhase : ForwardingPhase {
+    /** Forwards the events that [bytes] complete; [head] begins the response if none has. */
+    fun forwardEvents(head: ResponseHead, bytes: ByteArray)
+}
+
+/** A phase in which a response can be forwarded as it arrives. */
+internal sealed interface ForwardingPhase : ResponsePhase {
+    /** Completes the response that was forwarded, as the last target did with [head]. */
+    fun finish(head: ResponseHead, attempts: Int, now: Instant)
+}
+
+/** A phase in which the caller has a part of the response. */
+internal sealed interface BegunPhase : ResponsePhase {
+    /** Closes the caller's connection so that the response cannot be taken for complete. */
+    fun abort(reason: String, attempts: Int, now: Instant)
 }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
@@ -55,8 +55,13 @@
         startEvent()
     }
 
-    /** Returns the remaining bytes at the end of a complete stream. */
-    public fun finishStream(): ByteArray = buffer.copyOf(size).also { restart() }
+    /** Returns the remaining bytes at the end of a complete stream, without a known event. */
+    public fun finishStream(): ByteArray {
+        readField(String(buffer, lineStart, size - lineStart, Charsets.UTF_8))
+        val remainder = buffer.copyOf(if (isUnseen(eventId)) size else 0)
+        restart()
+        return remainder
+    }
 
     private fun append(bytes: ByteArray) {
         if (size + bytes.size > buffer.size) {
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeProperties.kt
@@ -79,6 +79,9 @@
         private var isInFlight = false
         private var hasEnded = false
         private var hasBegun = false
+
+        /** Attempt whose response was the first to be forwarded. */
+        private var begunIn = 0
         private var mayHaveRun = false
         private var headSeen: ResponseHead? = null
 
@@ -167,8 +170,13 @@
                 is ExchangeEffect.Begin -> {
                     assertTrue(!hasBegun, "a second response")
                     hasBegun = true
+                    begunIn = attempt
+                }
+                is ExchangeEffect.Body -> {
+                    assertTrue(hasBegun)
+                    val continues = kind.isStream && headSeen?.isSuccess == true
+                    assertTrue(attempt == begunIn || continues, "an error within a stream")
                 }
-                is ExchangeEffect.Body -> assertTrue(hasBegun)
                 is ExchangeEffect.End -> hasEnded = true
                 is ExchangeEffect.AbortResponse -> {
                     assertTrue(hasBegun, "nothing to abort")
