Answer a request with 500 after an unexpected exception on its connection

Callers whose request met an unexpected exception while it was read saw their connection close, without an answer; exceptionCaught closed it whatever the cause. An I/O error still just ends the connection. Any other exception is counted and logged with its stack as internal_error and answered with 500 if no response has begun; otherwise the response is cut off. Other connections go on.

A writer is now of no effect after its response's end, since a late end or abort would hit the next response. A refused HEAD request had a body, which the caller took for the next response; a 304 without a length was sent as chunked.

Failed before (CallerResponseTest on, by hand): - an unexpected exception while a request is read answers it with 500: :76 Expected the char sequence to contain the substring - an unexpected exception while a request is answered answers it with 500: :84, the same - a refused HEAD request has no body: :115 expected the response to end with its head - a response without a body has no framing: :125, 304 with transfer-encoding

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -192,7 +192,7 @@
             .info(requestLimiter)
 
     /** Logs an unexpected exception, which ended the request with [id]. */
-    fun onInternalError(id: String, cause: Exception): Unit = stateEvent("internal_error")
+    fun onInternalError(id: String, cause: Throwable): Unit = stateEvent("internal_error")
         .with("request", id)
         .with("code", ErrorCode.INTERNAL.number.toString())
         .with("detail", cause.stackTraceToString())
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -147,7 +147,7 @@
         delegate.onCallerWriteFailed(caller, cause)
 
     /** Counts an unexpected exception, which ended the request with [id]. */
-    fun onInternalError(id: String, cause: Exception) {
+    fun onInternalError(id: String, cause: Throwable) {
         count("burdock_forward_internal_errors_total")
         delegate.onInternalError(id, cause)
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -104,6 +104,9 @@
     override fun onWriteFailed(caller: String, cause: Throwable): Unit =
         metrics.onCallerWriteFailed(caller, cause)
 
+    override fun onUnexpectedException(id: String?, cause: Throwable): Unit =
+        metrics.onInternalError(id.orEmpty(), cause)
+
     override fun onRequest(
         request: BufferedRequest,
         writer: ResponseWriter,
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -163,8 +164,12 @@
 
     /** Reads queued messages until a response is in progress. */
     private fun readQueue() {
-        while (!isResponding && !isClosing) {
-            read(pipelined.removeFirstOrNull() ?: break)
+        try {
+            while (!isResponding && !isClosing) {
+                read(pipelined.removeFirstOrNull() ?: break)
+            }
+        } catch (e: Exception) {
+            onUnexpected(e)
         }
         if (isClosing) discardQueue()
         context.channel().config().isAutoRead = pipelined.size <= MAX_PIPELINED
@@ -278,11 +283,26 @@
 
     @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) return onUnexpected(cause)
         if (isClosing) handler.onWriteFailed(caller, cause)
         recordEnd(Reason.ERROR, now(), cause = cause)
         context.close()
     }
 
+    /** Ends the connection after an unexpected exception, with a response if none has begun. */
+    private fun onUnexpected(cause: Throwable) {
+        recordEnd(Reason.ERROR, now(), cause = cause)
+        handler.onUnexpectedException(requestId, cause)
+        val current = writer
+        abandonRequest()
+        when {
+            current == null && partial.hasHead -> reject(INTERNAL_ERROR)
+            current == null -> ending.start()
+            current.hasBegun -> current.abort()
+            else -> current.refuse(INTERNAL_ERROR)
+        }
+    }
+
     private companion object {
         /** Number of pipelined messages after which the connection is no longer read. */
         const val MAX_PIPELINED = 64
@@ -292,6 +312,7 @@
 
         /** Callers open a new connection, which reaches another host. */
         val RETRY_AFTER_STOP = 50.milliseconds
+        val INTERNAL_ERROR = Refusal(ErrorCode.INTERNAL, "internal error")
     }
 }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
@@ -33,6 +33,9 @@
     /** Called when something could not be written to the [caller] whose connection was ending. */
     public fun onWriteFailed(caller: String, cause: Throwable)
 
+    /** Called with an unexpected exception, which ends the connection and its request with [id]. */
+    public fun onUnexpectedException(id: String?, cause: Throwable)
+
     /** Whether the host is draining, so that connections close after their current response. */
     public fun isDraining(): Boolean
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ChannelResponseWriter.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ChannelResponseWriter.kt
@@ -34,7 +34,10 @@
     fun onResponseAborted(isFramed: Boolean)
 }
 
-/** Writes the response to [request], or to a request that was not read completely if it is null. */
+/**
+ * Writes the response to [request], or to a request that was not read completely if it is null.
+ * What is written after the end has no effect, since it would belong to the next response.
+ */
 internal class ChannelResponseWriter(
     private val request: HttpRequest?,
     private val context: ChannelHandlerContext,
@@ -44,6 +47,11 @@
     private val supportsChunks = request?.protocolVersion() != HttpVersion.HTTP_1_0
     private var isKept = false
     private var isFramed = true
+    private var hasEnded = false
+
+    /** Whether the head of the response was written. */
+    var hasBegun = false
+        private set
 
     override fun begin(head: ResponseHead, length: Int?) {
         val status = HttpResponseStatus.valueOf(head.status)
@@ -51,9 +59,8 @@
         head.headers.forEach { response.headers().add(it.name, it.value) }
         val bodyLength = if (isHead) head.length?.toInt() else length
         when {
-            bodyLength != null && bodyAllowed(head.status) ->
-                response.headers()["Content-Length"] = bodyLength
-            bodyLength != null -> Unit
+            !bodyAllowed(head.status) -> Unit
+            bodyLength != null -> response.headers()["Content-Length"] = bodyLength
             isHead -> Unit
             supportsChunks -> response.headers()["Transfer-Encoding"] = "chunked"
             else -> isFramed = false
@@ -62,19 +69,24 @@
     }
 
     override fun body(bytes: ByteArray) {
-        if (!isHead) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (isHead || hasEnded) return
+        context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
     }
 
     override fun end() {
+        if (hasEnded) return
+        hasEnded = true
         context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
         owner.onResponseEnds(isKept, null)
     }
 
     override fun refuse(refusal: Refusal) {
+        if (hasEnded) return
+        hasEnded = true
         val text = "${refusal.code.number} ${refusal.code.name}: ${refusal.detail}\n"
         val bytes = text.toByteArray()
         val status = HttpResponseStatus.valueOf(refusal.code.httpStatus)
-        val content = Unpooled.wrappedBuffer(bytes)
+        val content = if (isHead) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(bytes)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
         response.headers()["Content-Type"] = "text/plain"
         response.headers()["Content-Length"] = bytes.size
@@ -84,10 +96,13 @@
     }
 
     override fun abort() {
+        if (hasEnded) return
+        hasEnded = true
         owner.onResponseAborted(isFramed)
     }
 
     private fun start(response: HttpResponse) {
+        hasBegun = true
         // After a partially read request, the remaining bytes would be misread as a new one.
         val limit = owner.onResponseBegins(
             request != null && HttpUtil.isKeepAlive(request) && supportsChunks,
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerFixture.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerFixture.kt
@@ -61,6 +61,10 @@
         errors += cause
     }
 
+    override fun onUnexpectedException(id: String?, cause: Throwable) {
+        errors += cause
+    }
+
     override fun onRejected(refusal: Refusal) {
         refusals += refusal
     }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerResponseTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerResponseTest.kt
@@ -2,6 +2,8 @@
 
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
+import burdockspread.forward.http.CallerConnectionEnd.Reason
+import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -9,7 +11,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
-/** Responses to callers that read slowly or pipeline. */
+/** Responses to callers that read slowly, pipeline, or meet an unexpected exception. */
 class CallerResponseTest {
     private val fixture = CallerFixture()
 
@@ -67,6 +69,64 @@
         assertFalse(fixture.channel.isOpen)
     }
 
+    /** Guards against an unexpected exception that leaves a request without an answer. */
+    @Test
+    fun `an unexpected exception while a request is read answers it with 500`() {
+        fixture.send("GET / HTTP/1.1\r\nHost: h\r\nBroken: x\r\n\r\n")
+        assertContains(fixture.written(), "HTTP/1.1 500 ")
+        assertEquals(Reason.ERROR, fixture.ends.single().reason)
+    }
+
+    @Test
+    fun `an unexpected exception while a request is answered answers it with 500`() {
+        fixture.send(REQUEST)
+        fixture.channel.pipeline().fireExceptionCaught(IllegalStateException("unexpected"))
+        assertContains(fixture.written(), "HTTP/1.1 500 ")
+        assertEquals(1, fixture.callersGone)
+    }
+
+    @Test
+    fun `an unexpected exception within a response cuts it off`() {
+        fixture.send(REQUEST)
+        fixture.writers.single().begin(head(), 2)
+        fixture.channel.pipeline().fireExceptionCaught(IllegalStateException("unexpected"))
+        assertFalse("HTTP/1.1 500 " in fixture.written())
+        fixture.runFor(1.seconds)
+        assertFalse(fixture.channel.isOpen)
+        assertEquals(1, fixture.callersGone)
+    }
+
+    @Test
+    fun `an error of the connection ends it without an answer`() {
+        fixture.send(REQUEST)
+        fixture.channel.pipeline().fireExceptionCaught(IOException("reset"))
+        assertEquals("", fixture.written())
+        assertFalse(fixture.channel.isOpen)
+        assertEquals(1, fixture.callersGone)
+    }
+
+    /** Guards against a body that the caller takes for the next response. */
+    @Test
+    fun `a refused HEAD request has no body`() {
+        fixture.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n")
+        fixture.writers.single().refuse(REFUSAL)
+        val response = fixture.written()
+        assertContains(response, "HTTP/1.1 503 ")
+        assertTrue(response.endsWith("\r\n\r\n"), response)
+    }
+
+    @Test
+    fun `a response without a body has no framing`() {
+        for (status in listOf(204, 304)) {
+            fixture.send(REQUEST)
+            fixture.writers.last().begin(head(status), null)
+            fixture.writers.last().end()
+            val response = fixture.written().lowercase()
+            assertFalse("transfer-encoding" in response, response)
+            assertTrue(response.endsWith("\r\n\r\n"), response)
+        }
+    }
+
     /** Guards against a request that nobody knows to be lost. */
     @Test
     fun `a request behind the last response is not run and is reported`() {
