End one request only after an unexpected error, too

Callers saw: a request whose handling ended with an Error (a StackOverflowError, say) got no response, and it stayed open for ever in the count of open requests, so that a planned stop waited until its limit. Cause: ExchangeRunner.step and RequestServer.onRequest caught Exception, and Netty's handler above them does not know the request. Following starts a new watch if its job has ended by itself (read; supervision makes it unreachable, no test).

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
@@ -100,7 +100,7 @@
     }
 
     private fun startWatching(reason: String) {
-        if (watching != null) return
+        if (watching?.isActive == true) return
         relay = null
         log.info("watching the store: {}", reason)
         watching = scope.launch { watch() }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -115,7 +115,7 @@
         writer: ResponseWriter,
     ): CallerConnectionListener = try {
         handle(request, writer)
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         metrics.onInternalError("", e)
         writer.refuse(Refusal(ErrorCode.INTERNAL, "internal error"))
         IgnoringListener
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
@@ -27,8 +27,8 @@
     val protocol: ProtocolAdapter,
     val now: () -> Instant,
     val prober: TargetProber,
-    /** Called with the request's id after an unexpected exception, which ended the request. */
-    val onError: (String, Exception) -> Unit,
+    /** Called with the request's id after an unexpected exception or error, which ended it. */
+    val onError: (String, Throwable) -> Unit,
     /** Called after effects were executed, since capacity may have become free. */
     val onProgress: (ExchangeRunner) -> Unit,
 )
@@ -65,18 +65,18 @@
         outgoing?.setReading(writable)
     }
 
-    /** Passes an event to the exchange; an unexpected exception ends this request only. */
+    /** Passes an event to the exchange; an unexpected exception or error ends this request only. */
     private inline fun step(event: Exchange.(Instant) -> List<ExchangeEffect>) {
         try {
             exchange.event(context.now()).forEach(::execute)
             if (!exchange.isEnded) schedule()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             fail(e)
         }
         context.onProgress(this)
     }
 
-    private fun fail(cause: Exception) {
+    private fun fail(cause: Throwable) {
         context.onError(exchange.call.id, cause)
         outgoing?.cancel()
         outgoing = null
