Read pipelined requests one after another, at the pace at which the caller reads

Pipelined requests that were refused at once were read within one another, so that some thousand of them in one read ended in a StackOverflowError and the connection closed without their answers. A caller that sent requests without reading the responses filled the connection's write queue without bound, and reading was resumed after each response whatever was still queued.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -38,6 +38,7 @@
     private val partial = PartialRequest()
     private var listener: CallerConnectionListener? = null
     private var writer: ChannelResponseWriter? = null
+    private var isReadingQueue = false
     private var isStopping = false
     private var answered = 0
 
@@ -162,14 +163,18 @@
         )
     }
 
-    /** Reads queued messages until a response is in progress. */
+    /** Reads queued messages until a response is in progress or the caller reads too slowly. */
     private fun readQueue() {
+        if (isReadingQueue) return
+        isReadingQueue = true
         try {
-            while (!isResponding && !isClosing) {
+            while (!isResponding && !isClosing && context.channel().isWritable) {
                 read(pipelined.removeFirstOrNull() ?: break)
             }
         } catch (e: Exception) {
             onUnexpected(e)
+        } finally {
+            isReadingQueue = false
         }
         if (isClosing) discardQueue()
         context.channel().config().isAutoRead = pipelined.size <= MAX_PIPELINED
@@ -279,6 +284,7 @@
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         val isWritable = context.channel().isWritable
         listener?.onWritable(isWritable)
+        if (isWritable && !isClosing) readQueue()
     }
 
     @Deprecated("Netty deprecates this method in ChannelHandler but still calls it")
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerResponseTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerResponseTest.kt
@@ -127,6 +127,34 @@
         }
     }
 
+    /** Guards against a stack that grows with the number of pipelined requests. */
+    @Test
+    fun `many pipelined requests that are refused at once are all answered`() {
+        fixture.send(REQUEST.repeat(1 + PIPELINED))
+        fixture.respond = { _, writer -> writer.refuse(REFUSAL) }
+        fixture.writers.single().refuse(REFUSAL)
+        assertEquals(1 + PIPELINED, fixture.received.size)
+        assertTrue(fixture.channel.isOpen)
+    }
+
+    /** Guards against a queue that grows without bound for a caller that reads nothing. */
+    @Test
+    fun `requests behind unread responses wait until the caller reads`() {
+        fixture.channel.isReading = false
+        fixture.respond = { _, writer ->
+            writer.begin(head(), BODY.size)
+            writer.body(BODY)
+            writer.end()
+        }
+        fixture.send(REQUEST.repeat(PIPELINED))
+        val served = fixture.received.size
+        assertTrue(served < 10, "$served")
+        assertFalse(fixture.channel.config().isAutoRead)
+        fixture.channel.isReading = true
+        assertEquals(PIPELINED, fixture.received.size)
+        assertTrue(fixture.channel.config().isAutoRead)
+    }
+
     /** Guards against a request that nobody knows to be lost. */
     @Test
     fun `a request behind the last response is not run and is reported`() {
@@ -148,6 +176,8 @@
 
     private companion object {
         const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        const val PIPELINED = 20_000
+        val BODY = ByteArray(20_000)
         val REFUSAL = Refusal(ErrorCode.DRAINING, "")
     }
 }
