End a planned stop in steps: stop listening, end requests, close connections

Callers saw: at the end of a stop, connections were reset while requests arrived on them or waited in the accept queue; up to 20 requests at once were held 0.3 s to 0.4 s and got nothing. Cause: ForwardHost accepted until its last instant, then ended its requests and completed the stop in one step; refusals were still unwritten, and nothing waited for connections to close. An exception in that step left the process running until it was killed. Now PlannedStop has three phases. Draining lasts until 0.9 s before the end of the grace period, or until the host is idle after 3.5 s. Ending accepts what the kernel holds, closes the listener, ends open requests and closes each connection once what has arrived on it is answered. Stopped comes when all connections are closed or 0.25 s before the end of the grace period. A step that throws is logged and the next one follows; the control loop ends the process if the request loop does not.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/EarlyListener.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/EarlyListener.kt
@@ -22,13 +22,14 @@
     return try {
         val settings = Files.readString(Path.of(args[1]))
         val address = CALLER_ADDRESS.find(settings)?.groupValues?.get(1)
-        address?.takeIf(::isIpv4Endpoint)?.let(::listen)
+        address?.takeIf(::isIpv4Endpoint)?.let(::listenAt)
     } catch (e: IOException) {
         null
     }
 }
 
-private fun listen(address: String): ServerSocketChannel {
+/** Listens at [address], an IP:port. */
+internal fun listenAt(address: String): ServerSocketChannel {
     val port = address.substringAfterLast(':').toInt()
     val channel = ServerSocketChannel.open()
     try {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -2,6 +2,7 @@
 package burdockspread.forward.host
 
 import burdockspread.forward.directory.TargetEntry
+import burdockspread.forward.http.CallerListener
 import burdockspread.forward.http.Connections
 import burdockspread.forward.http.HttpCalls
 import burdockspread.forward.http.Transport
@@ -29,13 +30,13 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.nio.channels.ServerSocketChannel
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
+import kotlin.time.Instant
 
 /**
  * Runs the forwarder of one host on the platform described by [deployment].
@@ -94,6 +95,8 @@
         RequestServer(deployment, transport, clock, pools, { viewUpdater.view }, metrics, loads)
     private val stopped = CompletableDeferred<ExitCode>()
 
+    private var listener: CallerListener? = null
+
     @Volatile
     private var isDraining = false
 
@@ -135,21 +138,25 @@
     public fun drain() {
         if (isDraining) return
         isDraining = true
-        server.beginDrain()
-        log.onProcess("stopping", "${server.openRequests} requests are open")
-        scope.launch { finish() }
+        val grace = settings.stopGrace.toKotlinDuration()
+        log.onProcess("stopping", "${server.openRequests} requests are open, $grace are left")
+        val stop = PlannedStop(clock.now(), grace)
+        server.beginDrain(stop)
+        StopSequence(stop, Stopping(), transport.requests, clock).start()
+        // Ends the process in time also when the request loop does not get to it.
+        transport.control.schedule(
+            { completeStop("the request loop did not end in time") },
+            (grace - PlannedStop.EXIT_TIME).inWholeMilliseconds + WATCHDOG_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     /** Waits until the host has drained. */
     public suspend fun awaitStop(): ExitCode = stopped.await()
 
     private fun listenForCallers() {
-        val loop = transport.requests
-        if (earlyListener == null) {
-            transport.listen(loop, settings.callerAddress, server::onConnection)
-        } else {
-            transport.accept(loop, earlyListener, server::onConnection)
-        }
+        val socket = earlyListener ?: listenAt(settings.callerAddress)
+        listener = transport.accept(transport.requests, socket, server::onConnection)
     }
 
     private fun follow() {
@@ -179,20 +186,42 @@
         }
     }
 
-    private suspend fun finish() {
-        val start = clock.now()
-        val limit = settings.stopGrace.toKotlinDuration() - STOP_MARGIN
-        while (clock.now() - start < limit) {
-            val isIdle = server.openRequests == 0
-            if (isIdle && clock.now() - start >= BALANCER_DRAIN_TIME) break
-            delay(POLL_INTERVAL)
+    private fun completeStop(problem: String?) {
+        if (stopped.isCompleted) return
+        if (problem == null) {
+            log.onProcess("stopped", "all responses are written, all connections closed")
+        } else {
+            log.onStopIncomplete(problem)
         }
-        log.onProcess("stopped", "${server.openRequests} requests are aborted")
-        transport.requests.execute {
+        stopped.complete(ExitCode.OK)
+        scope.cancel()
+    }
+
+    /** Confined to the request loop. */
+    private inner class Stopping : StoppingHost {
+        override fun openWork() =
+            OpenWork(server.openRequests, server.connectionsByIdleness().values.sum())
+
+        override fun end(now: Instant) {
+            val accepted = listener?.closeAfterAccepting() ?: 0
+            val connections = server.connectionsByIdleness()
+            log.onProcess(
+                "ending",
+                "${server.openRequests} requests are open, ${server.waitingRequests} of them " +
+                    "wait; ${connections[true] ?: 0} connections are idle, " +
+                    "${connections[false] ?: 0} busy, $accepted of them just accepted",
+            )
             server.endAll()
-            stopped.complete(ExitCode.OK)
         }
-        scope.cancel()
+
+        override fun closeConnections(now: Instant): Unit = server.closeConnections(now)
+
+        override fun onStopped(open: OpenWork, now: Instant) {
+            val isComplete = open.connections == 0 && open.requests == 0
+            completeStop(
+                if (isComplete) null else "${open.connections} connections are cut: time is up",
+            )
+        }
     }
 
     private fun readiness(path: String): SimpleHttpResponse {
@@ -279,11 +308,7 @@
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
 
-        /** The balancer probes every second and removes a host after two failed probes. */
-        val BALANCER_DRAIN_TIME: Duration = 3_500.milliseconds
-
-        /** Part of the grace period that is reserved for ending open requests and the process. */
-        val STOP_MARGIN: Duration = 700.milliseconds
-        val POLL_INTERVAL: Duration = 50.milliseconds
+        /** Lets a request loop that is merely late end by itself. */
+        const val WATCHDOG_DELAY_MILLIS = 50L
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -166,6 +166,11 @@
     fun onProcess(event: String, detail: String): Unit =
         log.info(stateEvent(event).with("detail", detail))
 
+    /** Logs that the host exits although something is left to write or to close. */
+    fun onStopIncomplete(detail: String): Unit = stateEvent("stopped")
+        .with("detail", detail)
+        .warn()
+
     private fun requestEvent(call: Call, event: String, now: Instant): StringMapMessage =
         StringMapMessage(CAPACITY)
             .with("event", event)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -53,7 +53,7 @@
     )
 
     @Volatile
-    private var drainingSince: Instant? = null
+    private var stop: PlannedStop? = null
 
     @Volatile
     var openRequests: Int = 0
@@ -72,19 +72,31 @@
         )
     }
 
-    /** Closes each connection after its current response from now on. */
-    fun beginDrain() {
-        drainingSince = clock.now()
-    }
+    /** Number of requests that wait for a target. */
+    val waitingRequests: Int get() = pools.all.sumOf { it.policy.waiting }
+
+    /** Number of callers' connections by whether nothing of a request is in hand on them. */
+    fun connectionsByIdleness(): Map<Boolean, Int> = callers.groupingBy { it.isIdle }.eachCount()
 
-    /** Ends all open requests. Must be called on the request loop. */
-    fun endAll() {
-        pools.all.flatMap { it.running.values.toList() }.forEach(ExchangeRunner::onStop)
+    /**
+     * Closes each connection after its current response and accepts requests by the phase of
+     * [plannedStop] from now on.
+     */
+    fun beginDrain(plannedStop: PlannedStop) {
+        stop = plannedStop
     }
 
+    /** Ends all open requests. */
+    fun endAll(): Unit = running().forEach { it.onStop() }
+
+    /** Closes callers' connections as far as all that arrived on them is answered. */
+    fun closeConnections(now: Instant): Unit = callers.toList().forEach { it.closeGracefully(now) }
+
+    private fun running(): List<ExchangeRunner> = pools.all.flatMap { it.running.values }
+
     override fun limits(): CallerLimits = view().catalog?.limits ?: FALLBACK_LIMITS
 
-    override fun isDraining(): Boolean = drainingSince != null
+    override fun isDraining(): Boolean = stop != null
 
     override fun onRejected(refusal: Refusal): Unit = metrics.onRequestRejected(null, "", refusal)
 
@@ -138,14 +150,9 @@
         return runner.start()
     }
 
-    /**
-     * Refuses calls late in the drain. A stream takes most of the grace period, so short calls are
-     * accepted for longer.
-     */
     private fun drainRefusal(call: Call, now: Instant): Refusal? {
-        val since = drainingSince ?: return null
-        val acceptTime = if (call.route.kind.isStream) STREAM_ACCEPT_TIME else CALL_ACCEPT_TIME
-        if (now - since < acceptTime) return null
+        val plannedStop = stop ?: return null
+        if (plannedStop.accepts(call.route.kind.isStream, now)) return null
         return Refusal(ErrorCode.DRAINING, "the host is draining", RETRY_AFTER_DRAIN)
     }
 
@@ -191,11 +198,6 @@
         val TICK_INTERVAL = 50.milliseconds
         const val SWEEP_TICKS = 10
 
-        /** The balancer stops sending callers here after two failed probes, a second apart. */
-        val CALL_ACCEPT_TIME = 3.seconds
-
-        /** Streams of about six seconds fit into a grace period of eight if started this early. */
-        val STREAM_ACCEPT_TIME = 1.seconds
         val RETRY_AFTER_DRAIN = 50.milliseconds
 
         /** Limits that apply while no configuration is known. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -94,6 +94,12 @@
     private var isClosing = false
     private var idleSince: Instant = now()
 
+    /** Time of the first call of [closeGracefully]; all that had arrived is read until the next. */
+    private var endingSince: Instant? = null
+
+    /** Whether nothing of a request has been read that is not yet answered. */
+    val isIdle: Boolean get() = head == null && !isResponding
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         connections += this
@@ -131,6 +137,17 @@
         }
     }
 
+    /**
+     * Closes once what had arrived is read and answered. Called every 50 ms while the host ends.
+     */
+    fun closeGracefully(at: Instant) {
+        val since = endingSince
+        endingSince = since ?: at
+        if (since != null && !isResponding && !isClosing) {
+            ChannelResponseWriter(null).lingerAndClose()
+        }
+    }
+
     private fun read(message: HttpObject) {
         val failure = message.decoderResult().cause()
         if (failure != null) {
@@ -290,7 +307,7 @@
          * Closes after a delay, since unread bytes would reset the connection before the caller has
          * read the response.
          */
-        private fun lingerAndClose() {
+        fun lingerAndClose() {
             isClosing = true
             (context.channel() as? SocketChannel)?.shutdownOutput()
             val loop = context.channel().eventLoop()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -61,11 +61,14 @@
         loop: EventLoop,
         listener: ServerSocketChannel,
         onConnection: (SocketChannel) -> Unit,
-    ): Channel = server(loop, onConnection)
-        .channelFactory { NioServerSocketChannel(listener) }
-        .register()
-        .sync()
-        .channel()
+    ): CallerListener {
+        val channel = server(loop, onConnection)
+            .channelFactory { NioServerSocketChannel(listener) }
+            .register()
+            .sync()
+            .channel()
+        return CallerListener(channel, listener)
+    }
 
     private fun server(loop: EventLoop, onConnection: (SocketChannel) -> Unit): ServerBootstrap =
         ServerBootstrap()
