Refuse requests that still wait when a stopping host starts no more of their kind

Callers saw: a stream accepted 0.5 s after SIGTERM waited for a place, started seconds later and was cut when the host ended. Cause: the limits of one second for streams and three for calls held for requests that arrive later, not for those that waited at that moment. Now each step of the stop refuses such requests as not run, with Retry-After; requests that a target may have run go on.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -74,8 +74,11 @@
     /** Called at [wakeAt]; [timerDelay] is how late it fired, for example after a pause. */
     public fun onTimer(now: Instant, timerDelay: Duration): ImmutableList<ExchangeEffect>
 
-    /** Called when the process is about to exit. */
-    public fun onStop(now: Instant): ImmutableList<ExchangeEffect>
+    /**
+     * Called when the process is about to exit. With [waitingOnly], only a request that waits and
+     * that no target can have executed ends: the host still stops, but starts no further work.
+     */
+    public fun onStop(now: Instant, waitingOnly: Boolean = false): ImmutableList<ExchangeEffect>
 
     public companion object {
         /** Returns an exchange for [call]; [policy] balances the load of its service. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -146,7 +146,8 @@
         }
     }
 
-    override fun onStop(now: Instant): ImmutableList<ExchangeEffect> = step {
+    override fun onStop(now: Instant, waitingOnly: Boolean): ImmutableList<ExchangeEffect> = step {
+        if (waitingOnly && (!waiting || history.delivered > 0)) return@step
         cancelAttempt(now)
         finish(Refusal(ErrorCode.DRAINING, "the host is shutting down", SHUTDOWN_RETRY_AFTER), now)
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -202,6 +202,9 @@
         override fun openWork() =
             OpenWork(server.openRequests, server.connectionsByIdleness().values.sum())
 
+        override fun refuseWaiting(stop: PlannedStop, now: Instant): Unit =
+            server.refuseWaiting(stop, now)
+
         override fun end(now: Instant) {
             val accepted = listener?.closeAfterAccepting() ?: 0
             val connections = server.connectionsByIdleness()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -86,6 +86,11 @@
         stop = plannedStop
     }
 
+    /** Refuses requests that still wait although [plannedStop] no longer accepts them. */
+    fun refuseWaiting(plannedStop: PlannedStop, now: Instant): Unit = running()
+        .filterNot { plannedStop.accepts(it.exchange.call.route.kind.isStream, now) }
+        .forEach { it.onStop(waitingOnly = true) }
+
     /** Ends all open requests. */
     fun endAll(): Unit = running().forEach { it.onStop() }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/StopSequence.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/StopSequence.kt
@@ -13,6 +13,9 @@
     /** Returns what is still in hand. */
     fun openWork(): OpenWork
 
+    /** Refuses requests that still wait although [stop] no longer accepts them. */
+    fun refuseWaiting(stop: PlannedStop, now: Instant)
+
     /** Reads the accept queue, stops listening and ends all open requests. */
     fun end(now: Instant)
 
@@ -51,7 +54,11 @@
             StopPhase.STOPPED -> host.onStopped(open, now)
             StopPhase.DRAINING, null -> Unit
         }
-        if (stop.phase == StopPhase.ENDING) host.closeConnections(now)
+        when (stop.phase) {
+            StopPhase.DRAINING -> host.refuseWaiting(stop, now)
+            StopPhase.ENDING -> host.closeConnections(now)
+            StopPhase.STOPPED -> Unit
+        }
     }
 
     private companion object {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
@@ -57,7 +57,8 @@
 
     fun onPlacement(decision: PlacementDecision): Unit = step { onPlacement(decision, it) }
 
-    fun onStop(): Unit = step { onStop(it) }
+    /** Ends the request; with [waitingOnly] only if it waits and no target can have run it. */
+    fun onStop(waitingOnly: Boolean = false): Unit = step { onStop(it, waitingOnly) }
 
     override fun onCallerGone(): Unit = step { onCallerGone(it) }
 
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/PlannedStopPhasesTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/PlannedStopPhasesTest.kt
@@ -65,6 +65,8 @@
         val host = object : StoppingHost {
             override fun openWork() = OpenWork(requests = 0, connections = 0)
 
+            override fun refuseWaiting(stop: PlannedStop, now: Instant): Unit = error("refuse")
+
             override fun end(now: Instant): Unit = error("end")
 
             override fun closeConnections(now: Instant): Unit = error("close")
