--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -155,7 +155,8 @@
         }
     }
 
-    override fun onStop(now: Instant): ImmutableList<ExchangeEffect> = step {
+    override fun onStop(now: Instant, waitingOnly: Boolean): ImmutableList<ExchangeEffect> = step {
+        if (waitingOnly && (!placement.isQueued || history.delivered > 0)) return@step
         cancelAttempt(now)
         ending.end(
             Refusal(ErrorCode.DRAINING, "the host is shutting down", SHUTDOWN_RETRY_AFTER),
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/BegunResponseTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/BegunResponseTest.kt
@@ -27,7 +27,13 @@
         head(205),
         head(200, headers = listOf(Header("content-type", "application/json"))),
         head(200, sealed = false),
+    )
+
+    /** Heads of responses that are not this request's. */
+    private val foreign = listOf(
         head(200, requestId = null),
+        head(404, requestId = null),
+        head(200, requestId = "other"),
     )
 
     // Guards against a target's error written into the stream of an earlier attempt.
@@ -63,10 +69,26 @@
         }
     }
 
+    // Guards against another request's response within the stream, or taken for its end.
+    @Test
+    fun `another request's response is skipped and the stream goes on`() {
+        foreign.forEach { other ->
+            val scenario = resumed()
+            val skipped = scenario.exchange.onResponseHead(2, other, start) +
+                scenario.exchange.onBody(2, "error".encodeToByteArray(), start) +
+                scenario.exchange.onEnd(2, true, start)
+            assertEquals(emptyList(), skipped, "$other")
+            val rest = scenario.event(2, 2, start) + scenario.exchange.onEnd(2, true, start)
+            assertEquals("id: 2\n\n", text(rest))
+            assertTrue(ExchangeEffect.Release(2, reusable = false) in rest)
+            assertIs<ExchangeEffect.End>(rest.last())
+        }
+    }
+
     // Guards against an error too large to buffer being relayed into the stream.
     @Test
     fun `a large response that is not the stream is cut and the stream resumes`() {
-        others.forEach { other ->
+        (others + foreign).forEach { other ->
             val scenario = resumed()
             scenario.exchange.onResponseHead(2, other, start)
             val effects = scenario.exchange.onBody(2, ByteArray(300_000), start)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -49,6 +49,7 @@
     private var endReason: Reason? = null
     private val isClosing: Boolean get() = endReason != null
     private val isResponding: Boolean get() = writer != null
+    private val isEnding: Boolean get() = isStopping || handler.isDraining()
     private val state: State
         get() = when {
             isResponding -> State.RESPONDING
@@ -57,6 +58,9 @@
             else -> State.IDLE
         }
 
+    /** Whether nothing of a request has been read that is not yet answered. */
+    val isIdle: Boolean get() = state == State.IDLE && pipelined.isEmpty()
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         caller = context.channel().remoteAddress().toString().removePrefix("/")
@@ -71,7 +75,13 @@
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return drop(message)
         pipelined.addLast(message)
-        readQueue()
+        // While the host stops, what has arrived decides whether a response ends the connection.
+        if (!isEnding) readQueue()
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (!isClosing) readQueue()
+        context.fireChannelReadComplete()
     }
 
     /** Ends connections that are idle or whose request takes too long. Called every 500 ms. */
@@ -225,7 +235,9 @@
     }
 
     override fun onResponseBegins(isKeepAlivePossible: Boolean): Duration? {
-        val isKept = isKeepAlivePossible && !isClosing && !isStopping && !handler.isDraining()
+        // A request that was read behind this one is answered as well.
+        val isExpected = !isEnding || pipelined.any { it is HttpRequest }
+        val isKept = isKeepAlivePossible && !isClosing && isExpected
         return if (isKept) handler.limits().idleTimeout.also(idle::promise) else null
     }
 
