--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -33,7 +33,7 @@
     private lateinit var context: ChannelHandlerContext
     private lateinit var ending: GracefulClose
     private lateinit var caller: String
-    private val pipelined = ArrayDeque<HttpObject>()
+    private val pipelined = PipelinedMessages()
     private val idle = IdleLimit(now(), handler.limits().idleTimeout)
     private val partial = PartialRequest()
     private var listener: CallerConnectionListener? = null
@@ -59,7 +59,7 @@
         }
 
     /** Whether nothing of a request has been read that is not yet answered. */
-    val isIdle: Boolean get() = state == State.IDLE && pipelined.isEmpty()
+    val isIdle: Boolean get() = state == State.IDLE && pipelined.size == 0
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -74,7 +74,7 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return drop(message)
-        pipelined.addLast(message)
+        pipelined.add(message)
         // While the host stops, what has arrived decides whether a response ends the connection.
         if (!isEnding) readQueue()
     }
@@ -186,7 +186,7 @@
         } finally {
             isReadingQueue = false
         }
-        if (isClosing) discardQueue()
+        if (isClosing) pipelined.discardAll()
         context.channel().config().isAutoRead = pipelined.size <= MAX_PIPELINED
     }
 
@@ -236,7 +236,7 @@
 
     override fun onResponseBegins(isKeepAlivePossible: Boolean): Duration? {
         // A request that was read behind this one is answered as well.
-        val isExpected = !isEnding || pipelined.any { it is HttpRequest }
+        val isExpected = !isEnding || pipelined.hasRequest
         val isKept = isKeepAlivePossible && !isClosing && isExpected
         return if (isKept) handler.limits().idleTimeout.also(idle::promise) else null
     }
@@ -276,14 +276,9 @@
         discard(message)
     }
 
-    private fun discardQueue() {
-        pipelined.forEach(::discard)
-        pipelined.clear()
-    }
-
     override fun channelInactive(context: ChannelHandlerContext) {
         recordEnd(Reason.CALLER_CLOSED, now())
-        discardQueue()
+        pipelined.discardAll()
         abandonRequest()
     }
 
@@ -333,7 +328,3 @@
         val INTERNAL_ERROR = Refusal(ErrorCode.INTERNAL, "internal error")
     }
 }
-
-private fun discard(message: HttpObject) {
-    if (message is HttpContent) message.release()
-}
