Let a request outlast a takeover whose successor does not accept it

Found by the review of the rule of silence. Callers saw: a stream aborted, or a call refused with 502, although the first target was only silent for a second: it was cut for a successor that then answered that it had no capacity, with the route's attempts or the retry budget used up. A takeover now takes a second retry, held until the successor has accepted the request; a successor that has not executed it is no attempt; and the silent target, which has not failed, may be chosen again. Further: a response that begins to be relayed counts as progress, which withdraws a queued takeover (bytes of a second run followed those of the first); a retry that finds no target returns to the budget; a request past its deadline is refused unsent.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -12,6 +12,8 @@
     val target: TargetEntry,
     val replicaTarget: TargetEntry?,
     sentAt: Instant,
+    /** Whether the attempt took over from a silent one, which was cut for it. */
+    val isSuccessor: Boolean = false,
 ) {
     var lastReceivedAt: Instant = sentAt
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -42,6 +42,7 @@
         }
 
     override fun start(now: Instant): ImmutableList<ExchangeEffect> = step {
+        if (now >= call.deadline) return@step ending.endAtDeadline(now)
         budget.onFirstAttempt()
         requestPlacement(now)
     }
@@ -71,6 +72,7 @@
             return@ifCurrent
         }
         attempt.onProgress(now)
+        if (!head.notExecuted) history.releaseRetries()
         takeover.onReceived(attempt, now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.head = head
@@ -175,10 +177,15 @@
         }
     }
 
-    private fun send(placed: PlacementDecision.Placed, now: Instant) {
+    private fun send(
+        placed: PlacementDecision.Placed,
+        now: Instant,
+        isSuccessor: Boolean = false,
+    ) {
         val connection = history.connectionUse(placed.target)
         val fromReplica = history.onSent(placed.target)
-        val attempt = Attempt(history.count, placed.target, placed.replicaTarget, now)
+        val target = placed.target
+        val attempt = Attempt(history.count, target, placed.replicaTarget, now, isSuccessor)
         current = attempt
         val send = ExchangeEffect.Send(
             attemptNumber = attempt.number,
@@ -218,9 +225,9 @@
             detail,
             now,
         )
-        history.onFailed(attempt, silence.outcome)
+        history.onSuperseded(attempt, silence.outcome)
         emitter.restart()
-        send(successor, now)
+        send(successor, now, isSuccessor = true)
     }
 
     /** Closes the connection of a target whose bytes are no response or exceed a [limit]. */
@@ -243,7 +250,7 @@
         when {
             head.notExecuted -> {
                 val replaced = head.status == MISDIRECTED
-                history.onNotExecuted(isOther = replaced)
+                history.onNotExecuted(counts = !replaced && !attempt.isSuccessor)
                 val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
                 failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
             }
@@ -325,6 +332,7 @@
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (isEnded) return persistentListOf()
         block()
+        if (isEnded) history.releaseRetries()
         return emitter.takeEffects()
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -61,6 +61,7 @@
         val phase = emitter.phase
         if (phase !is ResponseEmitter.NotBegun) return "a response that is not the stream"
         attempt.isRelaying = true
+        attempt.onProgress(now)
         phase.relay(head, attempt.buffer.toByteArray())
         attempt.buffer.reset()
         return null
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Takeover.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Takeover.kt
@@ -7,7 +7,8 @@
 
 /**
  * Requests a successor for a silent attempt, which goes on meanwhile. A takeover that does not
- * happen leaves the attempt as it is and returns its retry to the budget.
+ * happen leaves the attempt as it is and returns its retries to the budget. A second retry is held
+ * until the successor has accepted the request, since the silent attempt is cut before that.
  */
 internal class Takeover(
     private val call: Call,
@@ -27,7 +28,7 @@
             tolerate(attempt, "no further attempt is allowed", now)
             return null
         }
-        if (!history.tryAcquireRetry()) {
+        if (!history.holdRetries(RETRIES)) {
             report(attempt, "the retry budget is spent", now)
             return null
         }
@@ -61,7 +62,7 @@
     /** Withdraws a queued takeover of [attempt], if any. */
     fun withdraw(attempt: Attempt, reason: String, now: Instant) {
         if (!placement.withdraw()) return
-        history.releaseRetry()
+        history.releaseRetries()
         listener.onTakeoverWithdrawn(call, attempt.number, attempt.target, reason, now)
     }
 
@@ -77,7 +78,7 @@
         now: Instant,
     ): PlacementDecision.Placed? {
         if (decision is PlacementDecision.Refused) {
-            history.releaseRetry()
+            history.releaseRetries()
             val reason = "refused: ${decision.refusal.detail}"
             listener.onTakeoverWithdrawn(call, attempt.number, attempt.target, reason, now)
             report(attempt, "no other target can take over", now)
@@ -97,4 +98,9 @@
             now,
         )
     }
+
+    private companion object {
+        /** The takeover and, if the successor does not accept the request, another attempt. */
+        const val RETRIES = 2
+    }
 }
