Do not take a connection with a queued request for idle

Callers saw: a request that had been read whole behind a response that they read slowly was dropped without an answer, half a second after SIGTERM or at the idle limit. Cause: reading of the queue stops while the caller is slow, and the connection's state looked only at the request in progress and at bytes not yet decoded. Evidence, without the change: CallerSlowReaderTest, both tests, ends: reason=DRAINING and reason=IDLE, state=IDLE, answered=1. An error while the queue is read is answered like an exception.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -55,11 +55,12 @@
             isResponding -> State.RESPONDING
             partial.hasHead -> State.BODY
             decoder.unfinishedBytes > 0 -> State.HEAD
+            pipelined.size > 0 -> State.RESPONDING
             else -> State.IDLE
         }
 
     /** Whether nothing of a request has been read that is not yet answered. */
-    val isIdle: Boolean get() = state == State.IDLE && pipelined.size == 0
+    val isIdle: Boolean get() = state == State.IDLE
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -181,7 +182,7 @@
             while (!isResponding && !isClosing && context.channel().isWritable) {
                 read(pipelined.removeFirstOrNull() ?: break)
             }
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             onUnexpected(e)
         } finally {
             isReadingQueue = false
