Start a supervised task again after a cancellation of its own call

A task that let a timeout inside it escape ended for good. Evidence, without the change: SupervisionTest, a task whose own call was cancelled starts again:48 expected: <3> but was: <1>.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.TimeUnit
@@ -29,9 +30,9 @@
     while (true) {
         try {
             return@launch task()
-        } catch (e: CancellationException) {
-            throw e
         } catch (e: Throwable) {
+            // A cancellation of something else, such as a timeout, ends only what it was for.
+            if (e is CancellationException && !isActive) throw e
             log.error("{} failed; it starts again in {}", name, RESTART_DELAY, e)
         }
         delay(RESTART_DELAY)
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SupervisionTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SupervisionTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -42,6 +43,18 @@
         assertTrue(jobs.none { it.isCancelled })
     }
 
+    // Guards against a timeout inside a task that ended the task for good.
+    @Test
+    fun `a task whose own call was cancelled starts again`() = runTest {
+        var starts = 0
+        val job = launchSupervised("test task") {
+            starts++
+            if (starts < 3) withTimeout(1.seconds) { delay(1.minutes) }
+        }
+        job.join()
+        assertEquals(3, starts)
+    }
+
     @Test
     fun `a task that is cancelled after an error does not start again`() = runTest {
         var starts = 0
