Do not take the host's own backpressure for a target's silence

Callers that read slowly saw: their stream run twice, at two sound targets, and aborted once its attempts were used up. Cause: for a slow caller the host stops reading from the target, and what it does not read counted as silence. The exchange is now told; silence is counted from when reading goes on, a queued takeover is withdrawn, and a new attempt begins with reading paused.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -71,6 +71,12 @@
 
     public fun onCallerGone(now: Instant): ImmutableList<ExchangeEffect>
 
+    /**
+     * Called when this host stops or resumes reading from the target, since the caller is slow.
+     * What is not read is no silence of the target.
+     */
+    public fun onReading(isReading: Boolean, now: Instant): ImmutableList<ExchangeEffect>
+
     /** Called at [wakeAt]; [timerDelay] is how late it fired, for example after a pause. */
     public fun onTimer(now: Instant, timerDelay: Duration): ImmutableList<ExchangeEffect>
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -6,6 +6,7 @@
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
+import burdockspread.forward.load.PlacementDecision.Placed
 import burdockspread.retry.RetryBudget
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
@@ -32,12 +33,15 @@
     /** The attempt in flight; a placement that is queued meanwhile is its takeover. */
     private var current: Attempt? = null
 
+    /** Whether bytes of the target are read; not while the caller reads too slowly. */
+    private var isReading = true
+
     override val isEnded: Boolean get() = emitter.isEnded
 
     override val wakeAt: Instant
         get() {
             val active = current
-            if (active == null || placement.isQueued) return call.deadline
+            if (active == null || placement.isQueued || !isReading) return call.deadline
             return minOf(call.deadline, silence.nextCheck(active))
         }
 
@@ -133,7 +137,8 @@
         alive: Boolean,
         now: Instant,
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
-        if (alive || attempt.lastReceivedAt > attempt.lastProbedAt) return@ifCurrent
+        val isHeard = attempt.lastReceivedAt > attempt.lastProbedAt
+        if (alive || isHeard || !isReading) return@ifCurrent
         applySilence(attempt, silence.concludeFromProbe(attempt), now)
     }
 
@@ -142,6 +147,14 @@
         emitter.onCallerGone(history.count, now)
     }
 
+    override fun onReading(isReading: Boolean, now: Instant): ImmutableList<ExchangeEffect> = step {
+        this.isReading = isReading
+        current?.let {
+            it.onProgress(now)
+            takeover.onReceived(it, now)
+        }
+    }
+
     override fun onTimer(now: Instant, timerDelay: Duration): ImmutableList<ExchangeEffect> = step {
         val attempt = current
         when {
@@ -149,7 +162,7 @@
                 cancelAttempt(now)
                 ending.endAtDeadline(now)
             }
-            attempt == null -> Unit
+            attempt == null || !isReading -> Unit
             timerDelay > MAX_TIMER_DELAY -> attempt.onProgress(now - timerDelay)
             placement.isQueued -> Unit
             now >= silence.nextCheck(attempt) ->
@@ -160,10 +173,7 @@
     override fun onStop(now: Instant, waitingOnly: Boolean): ImmutableList<ExchangeEffect> = step {
         if (waitingOnly && (!placement.isQueued || history.delivered > 0)) return@step
         cancelAttempt(now)
-        ending.end(
-            Refusal(ErrorCode.DRAINING, "the host is shutting down", SHUTDOWN_RETRY_AFTER),
-            now,
-        )
+        ending.end(SHUTDOWN, now)
     }
 
     /** Submits the request to the load policy, for the first attempt or a retry. */
@@ -171,17 +181,13 @@
 
     private fun applyPlacement(decision: PlacementDecision, now: Instant) {
         when (decision) {
-            is PlacementDecision.Placed -> send(decision, now)
+            is Placed -> send(decision, now)
             is PlacementDecision.Waiting -> listener.onWaiting(call, now)
             is PlacementDecision.Refused -> ending.end(decision.refusal, now)
         }
     }
 
-    private fun send(
-        placed: PlacementDecision.Placed,
-        now: Instant,
-        isSuccessor: Boolean = false,
-    ) {
+    private fun send(placed: Placed, now: Instant, isSuccessor: Boolean = false) {
         val connection = history.connectionUse(placed.target)
         val fromReplica = history.onSent(placed.target)
         val target = placed.target
@@ -214,17 +220,9 @@
     }
 
     /** Cancels the silent [attempt] and sends the request to its successor, in one step. */
-    private fun takeOver(attempt: Attempt, successor: PlacementDecision.Placed, now: Instant) {
+    private fun takeOver(attempt: Attempt, successor: Placed, now: Instant) {
         emitter.emit(ExchangeEffect.Cancel(attempt.number))
-        val detail = "silent for ${attempt.silence(now)}"
-        listener.onAttemptEnded(
-            call,
-            attempt.number,
-            attempt.target,
-            silence.outcome,
-            detail,
-            now,
-        )
+        reportEnd(attempt, silence.outcome, "silent for ${attempt.silence(now)}", now)
         history.onSuperseded(attempt, silence.outcome)
         emitter.restart()
         send(successor, now, isSuccessor = true)
@@ -287,7 +285,9 @@
         detail: String,
         now: Instant,
     ) {
-        endFailedAttempt(attempt, outcome, detail, now)
+        endAttempt(attempt, outcome, detail, now)
+        history.onFailed(attempt, outcome)
+        emitter.restart()
         val phase = emitter.phase
         if (phase is ResponseEmitter.Relaying) {
             return phase.abort("truncated response: $detail", history.count, now)
@@ -296,17 +296,6 @@
         ending.end(exhausted(kind, history.delivered, outcome, detail), now)
     }
 
-    private fun endFailedAttempt(
-        attempt: Attempt,
-        outcome: AttemptOutcome,
-        detail: String,
-        now: Instant,
-    ) {
-        endAttempt(attempt, outcome, detail, now)
-        history.onFailed(attempt, outcome)
-        emitter.restart()
-    }
-
     private fun cancelAttempt(now: Instant) {
         val attempt = current
         if (attempt == null) {
@@ -326,9 +315,12 @@
         takeover.withdraw(attempt, "the attempt ended", now)
         current = null
         policy.inFlight().onEnded(call.localId, outcome, now)
-        listener.onAttemptEnded(call, attempt.number, attempt.target, outcome, detail, now)
+        reportEnd(attempt, outcome, detail, now)
     }
 
+    private fun reportEnd(attempt: Attempt, outcome: AttemptOutcome, detail: String, now: Instant) =
+        listener.onAttemptEnded(call, attempt.number, attempt.target, outcome, detail, now)
+
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (isEnded) return persistentListOf()
         block()
@@ -349,6 +341,7 @@
 
         /** A longer timer delay is a pause of this host and says nothing about the target. */
         val MAX_TIMER_DELAY = 60.milliseconds
-        val SHUTDOWN_RETRY_AFTER = 20.milliseconds
+        val SHUTDOWN =
+            Refusal(ErrorCode.DRAINING, "the host is shutting down", 20.milliseconds)
     }
 }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SilenceTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SilenceTest.kt
@@ -132,6 +132,33 @@
         assertEquals("2", assertIs<ExchangeEffect.Send>(effects.single()).resumeAfterEventId)
     }
 
+    // Guards against a second run of a stream whose caller reads slowly, at two sound targets.
+    @Test
+    fun `what is not read for a slow caller is no silence of the target`() {
+        val scenario =
+            ExchangeScenario(CallKind.RESUMABLE_STREAM, one, two, replicaTarget = two).begin()
+        scenario.event(1, 1, start)
+        assertEquals(emptyList(), scenario.exchange.onReading(false, start + 100.milliseconds))
+        val resumed = start + 10.seconds
+        assertEquals(emptyList(), scenario.stayQuiet(1, resumed))
+        assertEquals(emptyList(), scenario.exchange.onProbe(1, false, resumed))
+        assertEquals(emptyList(), scenario.exchange.onReading(true, resumed))
+        assertTrue(scenario.exchange.wakeAt >= resumed + 300.milliseconds)
+        assertEquals("id: 2\n\n", text(scenario.event(1, 2, resumed)))
+        assertIs<ExchangeEffect.Send>(scenario.stayQuiet(1, resumed + 500.milliseconds).last())
+    }
+
+    // Guards against a takeover that was queued before the caller became slow.
+    @Test
+    fun `a queued takeover is withdrawn while the target is not read`() {
+        val scenario = ExchangeScenario(CallKind.RESUMABLE_STREAM, one).begin()
+        scenario.event(1, 1, start)
+        scenario.stayQuiet(1, start + 3.seconds)
+        assertEquals(emptyList(), scenario.exchange.onReading(false, start + 3.seconds))
+        assertEquals(1, scenario.policy.cancelled)
+        assertEquals(emptyList(), scenario.exchange.onPlacement(Placed(two, null), start + 4.seconds))
+    }
+
     // Guards against a takeover that outlives the attempt it was for.
     @Test
     fun `an attempt that breaks while its takeover is queued is retried as usual`() {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/ExchangeRunner.kt
@@ -50,6 +50,9 @@
     private var wakeAt: Instant = Instant.DISTANT_FUTURE
     private var hasBegun = false
 
+    /** Whether the caller reads as fast as the response arrives. */
+    private var isReading = true
+
     fun start(): ExchangeRunner {
         step { start(it) }
         return this
@@ -63,7 +66,9 @@
     override fun onCallerGone(): Unit = step { onCallerGone(it) }
 
     override fun onWritable(writable: Boolean) {
+        isReading = writable
         outgoing?.setReading(writable)
+        step { onReading(writable, it) }
     }
 
     /** Passes an event to the exchange; an unexpected exception or error ends this request only. */
@@ -115,6 +120,7 @@
         val handler = AttemptResponseHandler(effect.attemptNumber)
         val address = effect.target.address
         outgoing = context.connections.send(address, encode(effect), handler, effect.connection)
+        if (!isReading) outgoing?.setReading(false)
     }
 
     private fun encode(send: ExchangeEffect.Send): DefaultFullHttpRequest {
