Report requests whose write failed; keep late cancels off reused connections

Connections: a failed write ends its request if nothing else has (BrokenConnectionTest passes without it, too), a cancel after the release closes no connection that another call uses, and reading that was paused before the connection opened stays paused. Transport: the result of a connection whose channel could not be created arrives on its loop. ServicePools: a poll goes over a copy, since a refusal may run a request that adds a pool. ForwardHost: requests are ended even if the listener cannot be closed.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -205,7 +205,7 @@
         override fun refuseWaiting(stop: PlannedStop, now: Instant): Unit =
             server.refuseWaiting(stop, now)
 
-        override fun end(now: Instant) {
+        override fun end(now: Instant) = try {
             val accepted = listener?.closeAfterAccepting() ?: 0
             val connections = server.connectionsByIdleness()
             log.onProcess(
@@ -214,6 +214,7 @@
                     "wait; ${connections[true] ?: 0} connections are idle, " +
                     "${connections[false] ?: 0} busy, $accepted of them just accepted",
             )
+        } finally {
             server.endAll()
         }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -53,7 +53,8 @@
 
     /** Starts or refuses queued requests as far as a decision is possible now. */
     fun poll(now: Instant) {
-        pools.values.forEach { pool ->
+        // A refusal may run a pipelined request, which adds a pool.
+        pools.values.toList().forEach { pool ->
             pool.policy.poll(now).forEach { pool.running[it.localId]?.onPlacement(it.decision) }
         }
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -129,6 +129,7 @@
         private var channel: Channel? = null
         private var isCancelled = false
         private var written = false
+        private var isReading = true
 
         fun onConnected(connected: Channel?) {
             when {
@@ -149,7 +150,12 @@
             val receiver = connected.pipeline().get(Receiver::class.java)
             receiver.onUnsolicitedBytes = { distrust(address) }
             receiver.begin(handler, request.method() == HttpMethod.HEAD) { written }
-            connected.writeAndFlush(request).addListener { written = it.isSuccess }
+            connected.config().isAutoRead = isReading
+            connected.writeAndFlush(request).addListener {
+                written = it.isSuccess
+                // The end of a connection that broke before this is not reported again.
+                if (!it.isSuccess) loop.execute { receiver.fail(handler) }
+            }
         }
 
         override fun cancel() {
@@ -161,6 +167,8 @@
 
         override fun release(reusable: Boolean) {
             val open = channel ?: return
+            // A late cancel must not close a connection that carries another request.
+            channel = null
             val receiver = open.pipeline().get(Receiver::class.java)
             receiver?.detach()
             open.config().isAutoRead = true
@@ -171,6 +179,7 @@
         }
 
         override fun setReading(on: Boolean) {
+            isReading = on
             channel?.config()?.isAutoRead = on
         }
     }
@@ -211,6 +220,13 @@
         handler = null
     }
 
+    /** Reports that the connection is broken if [failed] still uses it. */
+    fun fail(failed: ResponseHandler) {
+        if (handler !== failed) return
+        handler = null
+        failed.onBroken(malformed = false)
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val activeHandler = handler
         if (activeHandler == null) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -112,7 +112,9 @@
             .connect(InetSocketAddress(ip, port))
             .addListener(
                 ChannelFutureListener {
-                    onResult(if (it.isSuccess) it.channel() else null)
+                    val channel = if (it.isSuccess) it.channel() else null
+                    // A channel that could not be created has no event loop of its own.
+                    if (loop.inEventLoop()) onResult(channel) else loop.execute { onResult(channel) }
                 },
             )
     }
