--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SilenceTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/SilenceTest.kt
@@ -156,7 +156,10 @@
         scenario.stayQuiet(1, start + 3.seconds)
         assertEquals(emptyList(), scenario.exchange.onReading(false, start + 3.seconds))
         assertEquals(1, scenario.policy.cancelled)
-        assertEquals(emptyList(), scenario.exchange.onPlacement(Placed(two, null), start + 4.seconds))
+        assertEquals(
+            emptyList(),
+            scenario.exchange.onPlacement(Placed(two, null), start + 4.seconds),
+        )
     }
 
     // Guards against a takeover that outlives the attempt it was for.
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/TakeoverOutcomeTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/TakeoverOutcomeTest.kt
@@ -1,21 +1,21 @@
 package burdockspread.forward.exchange
 
+import burdockspread.error.ErrorCode
+import burdockspread.error.Refusal
 import burdockspread.forward.Fixture
 import burdockspread.forward.catalog.CallKind
 import burdockspread.forward.exchange.ExchangeScenario.Companion.head
 import burdockspread.forward.exchange.ExchangeScenario.Companion.refusal
 import burdockspread.forward.load.PlacementDecision.Placed
 import burdockspread.forward.load.PlacementDecision.Refused
-import burdockspread.error.ErrorCode
-import burdockspread.error.Refusal
 import burdockspread.retry.RetryBudget
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What follows if a takeover from a silent target meets a successor that does not help. */
 class TakeoverOutcomeTest {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Supervision.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.TimeUnit
@@ -20,6 +20,7 @@
 
 /** Delay before a failed task starts again; a lasting fault must not occupy the processor. */
 private val RESTART_DELAY = 1.seconds
+private const val FAILED = "{} failed; it starts again in {}"
 private val log = LogManager.getLogger("supervision")
 
 /**
@@ -30,10 +31,12 @@
     while (true) {
         try {
             return@launch task()
-        } catch (e: Throwable) {
+        } catch (e: CancellationException) {
             // A cancellation of something else, such as a timeout, ends only what it was for.
-            if (e is CancellationException && !isActive) throw e
-            log.error("{} failed; it starts again in {}", name, RESTART_DELAY, e)
+            ensureActive()
+            log.error(FAILED, name, RESTART_DELAY, e)
+        } catch (e: Throwable) {
+            log.error(FAILED, name, RESTART_DELAY, e)
         }
         delay(RESTART_DELAY)
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -114,7 +114,13 @@
                 ChannelFutureListener {
                     val channel = if (it.isSuccess) it.channel() else null
                     // A channel that could not be created has no event loop of its own.
-                    if (loop.inEventLoop()) onResult(channel) else loop.execute { onResult(channel) }
+                    if (loop.inEventLoop()) {
+                        onResult(channel)
+                    } else {
+                        loop.execute {
+                            onResult(channel)
+                        }
+                    }
                 },
             )
     }
