--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
@@ -17,7 +17,6 @@
 /** What a probe says about its target. */
 class LivenessProbeTest {
     // Guards against a sound target that was given up, since it had no connection left.
-    // A runner resets connections beyond max_connections, which proves that it is alive.
     @Test
     fun `a target that resets a probe beyond its connection limit does not count as dead`() {
         val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
