--- a/review/lab/Callers.java
+++ b/review/lab/Callers.java
@@ -39,7 +39,7 @@
     /** Books, and asks for a stream on the same connection. */
     static void call(Lab.Host host, int number, AtomicInteger answered, List<String> unanswered, Set<String> reached) {
         String id = "s" + number;
-        try (Socket socket = new Socket(Lab.LOOP, host.callers())) {
+        try (Socket socket = host.connect()) {
             socket.setSoTimeout(20_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Lab.Message booked = Lab.call(socket, in, booking("b" + number, 6), "6 axes".getBytes());
--- a/review/lab/LargeBodies.java
+++ b/review/lab/LargeBodies.java
@@ -70,7 +70,7 @@
     }
 
     static String upload(Lab.Host host, int number) {
-        try (Socket socket = new Socket(Lab.LOOP, host.callers())) {
+        try (Socket socket = host.connect()) {
             socket.setSoTimeout(10_000);
             Lab.Message answer = Lab.call(socket, new BufferedInputStream(socket.getInputStream()),
                 Callers.booking("u" + number, LARGEST_BODY), new byte[LARGEST_BODY]);
--- a/review/lab/OddNames.java
+++ b/review/lab/OddNames.java
@@ -115,7 +115,7 @@
     }
 
     private static String book(Lab.Host host, String id) {
-        try (Socket socket = new Socket(Lab.LOOP, host.callers())) {
+        try (Socket socket = host.connect()) {
             socket.setSoTimeout(3000);
             Lab.Message answer = Lab.call(socket, new BufferedInputStream(socket.getInputStream()), Callers.booking(id, 6), "6 axes".getBytes());
             if (answer == null) return "closed";
--- a/review/lab/StalePages.java
+++ b/review/lab/StalePages.java
@@ -93,7 +93,7 @@
     private static void book(Lab.Host host, int number, double until, Map<String, Integer> statuses) {
         for (int i = 0; Lab.now() < until; i++) {
             String status;
-            try (Socket socket = new Socket(Lab.LOOP, host.callers())) {
+            try (Socket socket = host.connect()) {
                 socket.setSoTimeout(5000);
                 Lab.Message answer = Lab.call(socket, new BufferedInputStream(socket.getInputStream()),
                     Callers.booking("b" + number + "-" + i, 6), "6 axes".getBytes());
--- a/review/lab/TenantNames.java
+++ b/review/lab/TenantNames.java
@@ -46,7 +46,7 @@
         for (Map.Entry<String, String> owner : owners.entrySet()) {
             for (int i = 0; i < 3; i++) {
                 String id = owner.getKey() + "-" + i;
-                try (Socket socket = new Socket(Lab.LOOP, host.callers())) {
+                try (Socket socket = host.connect()) {
                     socket.setSoTimeout(3000);
                     Lab.Message answer = Lab.call(socket, new BufferedInputStream(socket.getInputStream()),
                         "GET /stock/2f HTTP/1.1\r\nHost: desk.example\r\nBurdockspread-Attempt-Id: " + id
