Log of what moment a list is, and what a host believed of a target

No line told whether the host's list was old, its watch lost the change or a peer restored it: lists were not logged, and neither responded nor attempt_failed said which state of the target the host had.

Change: store_listed with the versions of the oldest and the newest part, the source of a target's change, target and target_version in responded and attempt_failed, a counter of lists by whether their parts agree; burdockctl explain prints the lists before a request. No change of behaviour.

Test: ExplainTest, a request to a target that had left.

--- a/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
@@ -20,12 +20,14 @@
     /**
      * All objects, and the version from which a watch continues without a gap.
      *
+     * @property newestVersion the moment of the newest part.
      * @property isCached whether the list may be some seconds old.
      */
     public data class Listed(
         public val objects: ImmutableList<StoredObject>,
         public val version: Long,
         public val isCached: Boolean = false,
+        public val newestVersion: Long = version,
     ) : ListResult
 
     /** The store did not answer, so nothing is known. */
--- a/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
+++ b/burdock-ctl/src/main/kotlin/burdockspread/ctl/RequestTimeline.kt
@@ -101,9 +101,16 @@
                     it.fields["request"] == null &&
                     (it.event in HOST_EVENTS || it.fields["target"] in targets)
             }
+            // What a host believes of a target since its start may come from its first list.
+            val listLines = lines.filter {
+                it.event == "store_listed" && it.source in hosts && it.time <= span.endInclusive
+            }.groupBy { it.source to it.fields["kind"] }.map { it.value.last() }
             // Any host may have reached the verdict, hours ago.
             val verdictLines = lines.filter { it.fields["verdict"] in verdicts }
-            return RequestTimeline(requestLines, (hostLines + verdictLines).distinct())
+            return RequestTimeline(
+                requestLines,
+                (hostLines + listLines + verdictLines).distinct(),
+            )
         }
     }
 }
--- a/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
+++ b/burdock-ctl/src/test/kotlin/burdockspread/ctl/ExplainTest.kt
@@ -65,6 +65,21 @@
         assertContains(out, "code 403 (OUTCOME_UNKNOWN): BROKEN; attempt 1 at i-9: FAILED, BROKEN")
     }
 
+    @Test
+    fun `a request to a target that had left is explained with the list that showed it`() {
+        val log = """
+            {"time":"2026-06-01T03:50:01.000Z","message":{"event":"store_listed","kind":"servers","store_version":"70"}}
+            {"time":"2026-06-01T03:50:31.000Z","message":{"event":"store_listed","kind":"servers","store_version":"74"}}
+            {"time":"2026-06-01T03:51:03.100Z","message":{"event":"responded","request":"r4","status":"200","ms":"12","target":"i-9","target_version":"61"}}
+            {"time":"2026-06-01T03:51:04.000Z","message":{"event":"store_listed","kind":"servers","store_version":"99"}}
+        """
+        val out = explain("r4", log)
+        assertContains(out, "kind=servers store_version=74")
+        assertContains(out, "target=i-9 target_version=61")
+        assertFalse("store_version=70" in out)
+        assertFalse("store_version=99" in out)
+    }
+
     @Test
     fun `a request that no log line names is reported as an error`() {
         val result = run("nobody", "{}")
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetEntry.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetEntry.kt
@@ -11,6 +11,7 @@
  * @property address IP:port. Addresses of removed targets are reused by others.
  * @property startedAtMillis start of this incarnation in Unix milliseconds, or 0 if unknown.
  * @property sequence number of the target's own changes within one incarnation.
+ * @property storeVersion store version of this state, or 0 if unknown.
  */
 public data class TargetEntry(
     public val id: TargetId,
@@ -21,6 +22,7 @@
     public val isDraining: Boolean,
     public val startedAtMillis: Long,
     public val sequence: Long,
+    public val storeVersion: Long = 0,
 ) {
     /** Returns whether [other] is the same incarnation of the same target. */
     public fun isSameIncarnation(other: TargetEntry): Boolean =
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Attempt.kt
@@ -103,7 +103,11 @@
 }
 
 /** A complete response of a target. */
-internal class BufferedResponse(val head: ResponseHead, val body: ByteArray)
+internal class BufferedResponse(
+    val head: ResponseHead,
+    val body: ByteArray,
+    val target: TargetEntry,
+)
 
 /**
  * How far the response to an attempt has come.
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -228,8 +228,14 @@
         now: Instant,
     ) {}
 
-    /** Called when a target's response has been forwarded completely. */
-    public fun onResponded(call: Call, status: Int, attempts: Int, now: Instant) {}
+    /** Called when the response of [target] has been forwarded completely. */
+    public fun onResponded(
+        call: Call,
+        status: Int,
+        attempts: Int,
+        target: TargetEntry,
+        now: Instant,
+    ) {}
 
     public fun onRefused(call: Call, refusal: Refusal, attempts: Int, now: Instant) {}
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -125,7 +125,7 @@
         } else if (phase is ForwardingPhase && (attempt.isStreaming || attempt.isRelaying)) {
             crashWatch.onComplete(attempt, head, now)
             endAttempt(attempt, head.outcome(), "status ${head.status}", now)
-            phase.finish(head, history.count, now)
+            phase.finish(head, attempt, now)
         } else {
             completeResponse(attempt, head, now)
         }
@@ -270,7 +270,7 @@
 
     /** Decides how to handle a complete response that was buffered. */
     private fun completeResponse(attempt: Attempt, head: ResponseHead, now: Instant) {
-        val response = BufferedResponse(head, attempt.buffer.toByteArray())
+        val response = BufferedResponse(head, attempt.buffer.toByteArray(), attempt.target)
         when {
             head.notExecuted -> {
                 val replaced = head.status == MISDIRECTED
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
@@ -2,6 +2,7 @@
 package burdockspread.forward.exchange
 
 import burdockspread.error.Refusal
+import burdockspread.forward.directory.TargetEntry
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Instant
@@ -50,7 +51,7 @@
         fun respond(response: BufferedResponse, attempts: Int, now: Instant) {
             emit(ExchangeEffect.Begin(response.head, response.body.size))
             if (response.body.isNotEmpty()) emit(ExchangeEffect.Body(response.body))
-            end(response.head, attempts, now)
+            end(response.head, response.target, attempts, now)
         }
 
         fun refuse(refusal: Refusal, attempts: Int, now: Instant) {
@@ -68,8 +69,8 @@
         override fun forwardEvents(head: ResponseHead, bytes: ByteArray): Unit =
             sendEvents(head, framer.feed(bytes))
 
-        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
-            endStream(head, attempts, now)
+        override fun finish(head: ResponseHead, attempt: Attempt, now: Instant): Unit =
+            endStream(head, attempt, now)
     }
 
     /** A part of a stream has been sent, so only its further events may follow. */
@@ -79,8 +80,8 @@
         override fun forwardEvents(head: ResponseHead, bytes: ByteArray): Unit =
             sendEvents(head, framer.feed(bytes))
 
-        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
-            endStream(head, attempts, now)
+        override fun finish(head: ResponseHead, attempt: Attempt, now: Instant): Unit =
+            endStream(head, attempt, now)
 
         override fun abort(reason: String, attempts: Int, now: Instant): Unit =
             abortResponse(reason, attempts, now)
@@ -92,8 +93,8 @@
         BegunPhase {
         fun forward(bytes: ByteArray): Unit = emit(ExchangeEffect.Body(bytes))
 
-        override fun finish(head: ResponseHead, attempts: Int, now: Instant): Unit =
-            end(head, attempts, now)
+        override fun finish(head: ResponseHead, attempt: Attempt, now: Instant): Unit =
+            end(head, attempt.target, attempt.number, now)
 
         override fun abort(reason: String, attempts: Int, now: Instant): Unit =
             abortResponse(reason, attempts, now)
@@ -108,10 +109,10 @@
         emit(ExchangeEffect.Body(events))
     }
 
-    private fun endStream(head: ResponseHead, attempts: Int, now: Instant) {
+    private fun endStream(head: ResponseHead, attempt: Attempt, now: Instant) {
         sendEvents(head, framer.finishStream())
         beginStream(head, 0)
-        end(head, attempts, now)
+        end(head, attempt.target, attempt.number, now)
     }
 
     private fun beginStream(head: ResponseHead, length: Int?) {
@@ -120,9 +121,9 @@
         phase = Streaming()
     }
 
-    private fun end(head: ResponseHead, attempts: Int, now: Instant) {
+    private fun end(head: ResponseHead, target: TargetEntry, attempts: Int, now: Instant) {
         phase = Ended
-        listener.onResponded(call, head.status, attempts, now)
+        listener.onResponded(call, head.status, attempts, target, now)
         emit(ExchangeEffect.End)
     }
 
@@ -144,8 +145,8 @@
 
 /** A phase in which a response can be forwarded as it arrives. */
 internal sealed interface ForwardingPhase : ResponsePhase {
-    /** Completes the response that was forwarded, as the last target did with [head]. */
-    fun finish(head: ResponseHead, attempts: Int, now: Instant)
+    /** Completes the response that was forwarded, as the target of [attempt] did with [head]. */
+    fun finish(head: ResponseHead, attempt: Attempt, now: Instant)
 }
 
 /** A phase in which the caller has a part of the response. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -17,6 +17,7 @@
 import burdockspread.forward.news.HostViewListener
 import burdockspread.forward.news.ViewUpdate
 import burdockspread.id.TargetId
+import burdockspread.store.ListResult
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import kotlin.time.Duration
@@ -60,7 +61,7 @@
         if (outcome == AttemptOutcome.DONE) return
         val event = requestEvent(call, "attempt_failed", now)
             .with("attempt", attemptNumber.toString())
-            .with("target", target.id.value)
+            .withTarget(target)
             .with("address", target.address)
             .with("outcome", outcome.name)
             .with("detail", detail)
@@ -132,11 +133,17 @@
         .with("pause_ms", pause.inWholeMilliseconds.toString())
         .info(requestLimiter)
 
-    override fun onResponded(call: Call, status: Int, attempts: Int, now: Instant): Unit =
-        requestEvent(call, "responded", now)
-            .with("status", status.toString())
-            .with("attempts", attempts.toString())
-            .info(requestLimiter)
+    override fun onResponded(
+        call: Call,
+        status: Int,
+        attempts: Int,
+        target: TargetEntry,
+        now: Instant,
+    ): Unit = requestEvent(call, "responded", now)
+        .with("status", status.toString())
+        .with("attempts", attempts.toString())
+        .withTarget(target)
+        .info(requestLimiter)
 
     override fun onRefused(call: Call, refusal: Refusal, attempts: Int, now: Instant): Unit =
         requestEvent(call, "refused", now)
@@ -172,10 +179,20 @@
             .with("detail", reason)
             .warn()
 
-    override fun onTargetChanged(entry: TargetEntry, version: Long): Unit =
+    override fun onListed(kind: String, listed: ListResult.Listed): Unit =
+        stateEvent("store_listed")
+            .with("kind", kind)
+            .with("objects", listed.objects.size.toString())
+            .with("cached", listed.isCached.toString())
+            .with("store_version", listed.version.toString())
+            .with("newest_version", listed.newestVersion.toString())
+            .info(stateLimiter)
+
+    override fun onTargetChanged(entry: TargetEntry, version: Long, source: String): Unit =
         stateEvent(if (entry.isDraining) "target_leaving" else "target")
             .with("target", entry.id.value)
             .with("address", entry.address)
+            .with("source", source)
             .with("store_version", version.toString())
             .info(stateLimiter)
 
@@ -259,17 +276,6 @@
         .with("detail", detail)
         .warn()
 
-    private fun requestEvent(call: Call, event: String, now: Instant): StringMapMessage =
-        StringMapMessage(CAPACITY)
-            .with("event", event)
-            .with("request", call.id)
-            .with("service", call.service.value)
-            .with("route", call.route.name)
-            .with("ms", (now - call.receivedAt).inWholeMilliseconds.toString())
-
-    private fun stateEvent(event: String): StringMapMessage =
-        StringMapMessage(CAPACITY).with("event", event)
-
     private fun StringMapMessage.info(limiter: LogRateLimiter) {
         val at = now()
         if (limiter.tryAcquire(get("event").orEmpty(), at)) log.info(this)
@@ -284,9 +290,25 @@
     private fun StringMapMessage.warn(): Unit = log.warn(this)
 
     private companion object {
-        const val CAPACITY = 16
         val log = LogManager.getLogger("forward")
     }
 }
 
+private fun requestEvent(call: Call, event: String, now: Instant): StringMapMessage =
+    stateEvent(event)
+        .with("request", call.id)
+        .with("service", call.service.value)
+        .with("route", call.route.name)
+        .with("ms", (now - call.receivedAt).inWholeMilliseconds.toString())
+
+private fun stateEvent(event: String): StringMapMessage =
+    StringMapMessage(CAPACITY).with("event", event)
+
+/** Names [target] and the store version of what the host believes of it. */
+private fun StringMapMessage.withTarget(target: TargetEntry): StringMapMessage =
+    with("target", target.id.value).with("target_version", target.storeVersion.toString())
+
+/** Usual number of fields of a line. */
+private const val CAPACITY = 16
+
 private fun describe(cause: Throwable) = "${cause::class.qualifiedName}: ${cause.message}"
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -15,6 +15,7 @@
 import burdockspread.forward.news.HostViewListener
 import burdockspread.forward.news.ViewUpdate
 import burdockspread.id.TargetId
+import burdockspread.store.ListResult
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
@@ -67,7 +68,10 @@
     ) {
         val name = outcome.name.lowercase()
         count("burdock_forward_outcomes_total", "service", call.service.value, "outcome", name)
-        if (outcome in BREAKS) countBreak(call, progress)
+        if (outcome in BREAKS) {
+            val service = call.service.value
+            count("burdock_forward_breaks_total", "service", service, "phase", phase(progress))
+        }
         delegate.onAttemptEnded(call, attemptNumber, target, outcome, detail, progress, now)
     }
 
@@ -121,10 +125,16 @@
         delegate.onResumed(call, attemptNumber, target, pause, now)
     }
 
-    override fun onResponded(call: Call, status: Int, attempts: Int, now: Instant) {
+    override fun onResponded(
+        call: Call,
+        status: Int,
+        attempts: Int,
+        target: TargetEntry,
+        now: Instant,
+    ) {
         val took = (now - call.receivedAt).toJavaDuration()
         registry.timer("burdock_forward_response_seconds", call).record(took)
-        delegate.onResponded(call, status, attempts, now)
+        delegate.onResponded(call, status, attempts, target, now)
     }
 
     override fun onRefused(call: Call, refusal: Refusal, attempts: Int, now: Instant) {
@@ -151,8 +161,14 @@
     override fun onCatalogUnreadable(version: Long, reason: String): Unit =
         delegate.onCatalogUnreadable(version, reason)
 
-    override fun onTargetChanged(entry: TargetEntry, version: Long): Unit =
-        delegate.onTargetChanged(entry, version)
+    override fun onListed(kind: String, listed: ListResult.Listed) {
+        val age = if (listed.version < listed.newestVersion) "mixed" else "single"
+        count("burdock_forward_store_lists_total", "kind", kind, "age", age)
+        delegate.onListed(kind, listed)
+    }
+
+    override fun onTargetChanged(entry: TargetEntry, version: Long, source: String): Unit =
+        delegate.onTargetChanged(entry, version, source)
 
     override fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {
         count("burdock_forward_target_changes_total", "change", change.name.lowercase())
@@ -196,16 +212,6 @@
         delegate.onInternalError(id, cause)
     }
 
-    private fun countBreak(call: Call, progress: AttemptProgress) {
-        val phase = when {
-            progress.sinceBegun == null -> "waiting"
-            progress.events == 0 -> "begun"
-            else -> "streaming"
-        }
-        val service = call.service.value
-        count("burdock_forward_breaks_total", "service", service, "phase", phase)
-    }
-
     private fun countSilence(call: Call, conclusion: String): Unit = count(
         "burdock_forward_silences_total",
         "service",
@@ -225,6 +231,12 @@
     }
 }
 
+private fun phase(progress: AttemptProgress): String = when {
+    progress.sinceBegun == null -> "waiting"
+    progress.events == 0 -> "begun"
+    else -> "streaming"
+}
+
 private fun MeterRegistry.timer(name: String, call: Call): Timer = Timer.builder(name)
     .tag("service", call.service.value)
     .serviceLevelObjectives(*OBJECTIVES)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
@@ -5,6 +5,7 @@
 import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.id.TargetId
+import burdockspread.store.ListResult
 import kotlin.time.Duration
 
 /** Receives changes of the host's view, for logs and metrics. */
@@ -13,7 +14,11 @@
 
     public fun onCatalogUnreadable(version: Long, reason: String) {}
 
-    public fun onTargetChanged(entry: TargetEntry, version: Long) {}
+    /** Called when the store has listed all objects of [kind]. */
+    public fun onListed(kind: String, listed: ListResult.Listed) {}
+
+    /** Called when [source] brought a change of a target, see [ViewUpdate.source]. */
+    public fun onTargetChanged(entry: TargetEntry, version: Long, source: String) {}
 
     public fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {}
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -71,6 +71,7 @@
     override fun onListed(kind: String, listed: ListResult.Listed) {
         val now = onWatchActivity(kind, isCurrent = !listed.isCached)
         source = "list"
+        listener.onListed(kind, listed)
         if (kind == deployment.targetKind) {
             applyList(listed.objects, listed.version, now)
         } else {
@@ -248,7 +249,7 @@
         val removals = removed.map { TargetChange(TargetId(it.name), null, it.version) }
         directory.onChanges(changes + removals, version, storeContact.keepUntil, now)
         changes.forEach { change ->
-            change.entry?.let { listener.onTargetChanged(it, change.version) }
+            change.entry?.let { listener.onTargetChanged(it, change.version, source) }
         }
     }
 
@@ -296,7 +297,7 @@
             return
         }
         directory.onEntry(entry, value.version)
-        listener.onTargetChanged(entry, value.version)
+        listener.onTargetChanged(entry, value.version, source)
     }
 
     private fun storeEntry(value: StoredObject) {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
@@ -47,7 +47,17 @@
         val isDraining = stored.value.endsWith("leaving")
         val id = TargetId(stored.key.name)
         val domain = FailureDomainId("north")
-        return TargetEntry(id, ServiceId("s"), "10.0.0.1:1", domain, 1, isDraining, 1, 1)
+        return TargetEntry(
+            id,
+            ServiceId("s"),
+            "10.0.0.1:1",
+            domain,
+            slots = 1,
+            isDraining = isDraining,
+            startedAtMillis = 1,
+            sequence = 1,
+            storeVersion = stored.version,
+        )
     }
 
     override fun store(address: String, calls: Calls, watchWait: Duration): ObjectStore =
