Count a list as of its oldest page, and ignore changes older than what is known

Cause: each page of a cached list comes from a replica of its own age. The list counted as of its first page, so nothing brought what an older page lacked: the watch started after it, and peers found the host up to date.

Change: a list, cached or not, counts as of its oldest page; a watch from there brings what any page lacks. As the watch then repeats changes, the directory keeps for each entry the version as of which it is known and ignores older changes, removals and lists of it. The promise of a list is stated once, at ListResult.Listed.

PlatformStoreTest, TargetDirectoryTest and HostViewUpdaterTest name the single steps.

--- a/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
@@ -14,12 +14,13 @@
     /** Reads one object. */
     public suspend fun get(key: ObjectKey): ReadResult
 
-    /** Lists the objects of one kind. */
+    /** Lists the objects of one kind as of now or later, see [ListResult.Listed]. */
     public suspend fun list(kind: String): ListResult
 
     /**
      * Lists the objects of one kind as of up to some seconds ago, where the store offers that at a
-     * lower cost. Its version may be too old to watch from.
+     * lower cost. What holds for [list] holds for this list as well, but its version may be too old
+     * to watch from.
      */
     public suspend fun listCached(kind: String): ListResult = list(kind)
 
--- a/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
@@ -18,7 +18,13 @@
 /** Result of listing the objects of one kind. */
 public sealed interface ListResult {
     /**
-     * All objects, and the version from which a watch continues without a gap.
+     * All objects of a kind as of [version], some of them possibly in a newer state: a long list is
+     * read in several parts, each as of its own moment. Every object that did not change after
+     * [version] is listed as it is. One that did may be listed as of any later moment, or be
+     * missing if it was deleted meanwhile.
+     *
+     * A watch from [version] brings all changes since then, including those that the list already
+     * shows, so whoever applies its events ignores those that are older than their object.
      *
      * @property newestVersion the moment of the newest part.
      * @property isCached whether the list may be some seconds old.
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -32,7 +32,8 @@
 
     /**
      * Replaces the directory by a listing as of [atVersion]; older listings are ignored. Entries
-     * that are missing from it are kept as unconfirmed until [keepUntil].
+     * that are missing from it are kept as unconfirmed until [keepUntil], unless they were added
+     * later. The listing may contain changes that are newer than [atVersion].
      */
     public fun onListing(
         entries: List<TargetEntry>,
@@ -43,15 +44,15 @@
         if (atVersion < version) return
         version = atVersion
         val listed = entries.associateBy { it.id }
-        listed.values.forEach { merge(it, atVersion) }
-        (records.keys - listed.keys).forEach { id -> onMissing(id, keepUntil, now) }
+        listed.values.forEach { merge(it, maxOf(atVersion, it.storeVersion)) }
+        (records.keys - listed.keys).forEach { id -> onMissing(id, atVersion, keepUntil, now) }
     }
 
-    /** Applies one changed entry of a watch. */
-    public fun onEntry(entry: TargetEntry, atVersion: Long) {
-        if (atVersion <= version) return
+    /** Applies one changed entry of a watch; returns false if a newer state of it is known. */
+    public fun onEntry(entry: TargetEntry, atVersion: Long): Boolean {
+        if (atVersion <= version) return false
         version = atVersion
-        merge(entry, atVersion)
+        return merge(entry, atVersion)
     }
 
     /**
@@ -68,10 +69,7 @@
             val before = records[change.id]
             val entry = change.entry
             when {
-                entry == null ->
-                    if (before != null && before.asOf <= atVersion) {
-                        onMissing(change.id, keepUntil, now)
-                    }
+                entry == null -> onMissing(change.id, atVersion, keepUntil, now)
                 change.version > version -> merge(entry, change.version)
                 before == null || before.keptUntil != null -> Unit
                 before.asOf <= change.version -> merge(entry, change.version)
@@ -80,11 +78,14 @@
         onProgress(atVersion)
     }
 
-    /** Applies the removal of [id]; the entry is kept as unconfirmed until [keepUntil]. */
+    /**
+     * Applies the removal of [id], unless the target is known to have registered again since; the
+     * entry is kept as unconfirmed until [keepUntil].
+     */
     public fun onRemoved(id: TargetId, atVersion: Long, keepUntil: Instant, now: Instant) {
         if (atVersion <= version) return
         version = atVersion
-        onMissing(id, keepUntil, now)
+        onMissing(id, atVersion, keepUntil, now)
     }
 
     /** Advances the version when the store reports that nothing else has changed. */
@@ -118,32 +119,37 @@
         listener.onChange(id, change)
     }
 
-    private fun merge(entry: TargetEntry, atVersion: Long) {
-        val before = records[entry.id]?.entry
-        if (before != null && before.startedAtMillis > entry.startedAtMillis) return
+    /** Applies [entry] as of [atVersion]; returns false if it is outdated. */
+    private fun merge(entry: TargetEntry, atVersion: Long): Boolean {
+        val known = records[entry.id]
+        if (known != null && known.asOf > atVersion) return false
+        val before = known?.entry
+        if (before != null && before.startedAtMillis > entry.startedAtMillis) return false
         records.values.map { it.entry }
             .filter { it.address == entry.address && it.id != entry.id }
             .filter { it.startedAtMillis < entry.startedAtMillis }
             .forEach { remove(it.id, DirectoryChange.REPLACED) }
         val isDraining =
             entry.isDraining || (before?.isSameIncarnation(entry) == true && before.isDraining)
-        val known = records[entry.id]
         val next = TargetRecord(entry.copy(isDraining = isDraining), atVersion, null)
         records = records.put(entry.id, next)
         if (known?.entry != next.entry || known.keptUntil != null) {
             listener.onChange(entry.id, DirectoryChange.LISTED)
         }
+        return true
     }
 
-    private fun onMissing(id: TargetId, keepUntil: Instant, now: Instant) {
+    /** Handles that [id] was not registered as of [atVersion]. */
+    private fun onMissing(id: TargetId, atVersion: Long, keepUntil: Instant, now: Instant) {
         val before = records[id] ?: return
+        if (before.asOf > atVersion) return
         if (now >= keepUntil) return remove(id, DirectoryChange.REMOVED)
         if (before.keptUntil != null) return
         records = records.put(id, before.copy(keptUntil = keepUntil))
         listener.onChange(id, DirectoryChange.UNCONFIRMED)
     }
 
-    /** An entry as of a store version; if unconfirmed, it is removed at [keptUntil]. */
+    /** An entry as last confirmed at [asOf]; if unconfirmed, it is removed at [keptUntil]. */
     private data class TargetRecord(
         val entry: TargetEntry,
         val asOf: Long,
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
@@ -4,6 +4,7 @@
 import burdockspread.id.TargetId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -118,6 +119,35 @@
         assertEquals(listOf("b", "c"), usable())
     }
 
+    // Guards against a target that stays in use since a listing showed a newer state than a watch.
+    @Test
+    fun `an event that is older than the listed entry changes nothing`() {
+        val listed = Fixture.target("a", isDraining = true, startedAtMillis = 1)
+        directory.onListing(listOf(listed.copy(storeVersion = 9)), 5, PAST, now)
+        assertFalse(directory.onEntry(Fixture.target("a", startedAtMillis = 2), 7))
+        assertEquals(7, directory.version)
+        assertEquals(emptyList(), usable())
+    }
+
+    @Test
+    fun `a target that registered again after its removal stays`() {
+        directory.onListing(listOf(Fixture.target("a").copy(storeVersion = 9)), 5, PAST, now)
+        directory.onRemoved(TargetId("a"), 7, PAST, now)
+        directory.onListing(listOf(Fixture.target("b")), 8, PAST, now)
+        assertEquals(listOf("a", "b"), usable())
+        directory.onRemoved(TargetId("a"), 10, PAST, now)
+        assertEquals(listOf("b"), usable())
+    }
+
+    @Test
+    fun `an older change of a peer does not replace a listed entry`() {
+        val listed = Fixture.target("a", isDraining = true).copy(storeVersion = 9)
+        directory.onListing(listOf(listed), 5, PAST, now)
+        val older = TargetChange(TargetId("a"), Fixture.target("a", startedAtMillis = 2), 7)
+        directory.onChanges(listOf(older), 7, PAST, now)
+        assertEquals(emptyList(), usable())
+    }
+
     @Test
     fun `each change is reported once`() {
         val reported = ArrayList<String>()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -296,8 +296,9 @@
             directory.onRemoved(TargetId(value.key.name), value.version, now, now)
             return
         }
-        directory.onEntry(entry, value.version)
-        listener.onTargetChanged(entry, value.version, source)
+        if (directory.onEntry(entry, value.version)) {
+            listener.onTargetChanged(entry, value.version, source)
+        }
     }
 
     private fun storeEntry(value: StoredObject) {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -263,6 +263,24 @@
         assertEquals(10.seconds, updater.age(now))
     }
 
+    // Guards against a version that claims more than a list of mixed age contained.
+    @Test
+    fun `a host does not make a peer skip what its own list lacked`() {
+        val mixed = listed(5, target("a", 9), target("b", 4)).copy(newestVersion = 10)
+        val peer = HostViewUpdater(TextDeployment, { now })
+        listOf(peer, updater).forEach { it.onListed("settings", listed(5, catalog(7))) }
+        peer.onListed("targets", mixed)
+        updater.pullFrom(peer)
+        val leaving = target("b", 8).copy(value = "b leaving")
+        updater.onEvent("targets", WatchEvent.Put(leaving))
+        assertEquals(listOf("a"), usableTargets())
+        peer.pullFrom(updater)
+        assertEquals(listOf("a"), usableTargets(peer))
+        peer.onEvent("targets", WatchEvent.Deleted(ObjectKey("targets", "a"), 7))
+        peer.onEvent("targets", WatchEvent.Progress(10))
+        assertEquals(listOf("a"), usableTargets(peer))
+    }
+
     @Test
     fun `a request that knows an earlier process of the peer is answered at once`() = runTest {
         follow()
@@ -313,9 +331,8 @@
         return reply
     }
 
-    private fun usableTargets() = updater.view.directory.services.values.flatten().map {
-        it.entry.id.value
-    }
+    private fun usableTargets(host: HostViewUpdater = updater) =
+        host.view.directory.services.values.flatten().map { it.entry.id.value }
 
     private fun listed(version: Long, vararg objects: StoredObject) =
         ListResult.Listed(objects.toList().toImmutableList(), version)
