Follow a target that comes back after its removal with its clock set back

What callers could see: requests at a target that drains, or none at a target that is ready, for good.

Cause: an entry with an earlier start than the known one counts as a late report of an earlier incarnation. A host that did not see the removal in between (a list, a peer's changes) then ignored the entry whatever followed.

Change: the start counts only against the same registration, told by the store's creation mark, which peers pass on.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -16,7 +16,9 @@
  * Merges updates of targets. Not thread-safe; [view] returns immutable snapshots.
  *
  * Within one incarnation, draining takes precedence over live. An older incarnation never replaces
- * a newer one. A target that started later at the same address proves that the earlier one is gone.
+ * a newer one, unless the entry was removed in between. A target that started later at the same
+ * address proves that the earlier one is gone.
+ *
  * Entries expire during a store outage although their targets are live, so for a while after an
  * outage missing entries are kept as unconfirmed (see [StoreContact]). This is the host's own
  * judgement and not told to peers, for which an unconfirmed entry is removed.
@@ -124,7 +126,7 @@
         val known = records[entry.id]
         if (known != null && known.asOf > atVersion) return false
         val before = known?.entry
-        if (before != null && before.startedAtMillis > entry.startedAtMillis) return false
+        if (before != null && entry.isLateReport(before)) return false
         records.values.map { it.entry }
             .filter { it.address == entry.address && it.id != entry.id }
             .filter { it.startedAtMillis < entry.startedAtMillis }
@@ -139,6 +141,13 @@
         return true
     }
 
+    /**
+     * Whether an earlier incarnation than that of [known] wrote this entry. After a removal the
+     * start counts for nothing, since the target's clock may have been set back.
+     */
+    private fun TargetEntry.isLateReport(known: TargetEntry) =
+        startedAtMillis < known.startedAtMillis && created == known.created
+
     /** Handles that [id] was not registered as of [atVersion]. */
     private fun onMissing(id: TargetId, atVersion: Long, keepUntil: Instant, now: Instant) {
         val before = records[id] ?: return
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/directory/TargetDirectoryTest.kt
@@ -40,6 +40,17 @@
         assertEquals(listOf("a"), usable())
     }
 
+    // Guards against a target that was never seen again, since its clock had been set back.
+    @Test
+    fun `a target that came back after its removal counts whatever its clock says`() {
+        val first = Fixture.target("a", startedAtMillis = 2).copy(created = 5)
+        directory.onListing(listOf(first), 5, PAST, now)
+        val back = Fixture.target("a", startedAtMillis = 1).copy(created = 7)
+        directory.onListing(listOf(back), 8, PAST, now)
+        directory.onEntry(back.copy(isDraining = true), 9)
+        assertEquals(emptyList(), usable())
+    }
+
     @Test
     fun `an older listing is ignored`() {
         directory.onListing(listOf(Fixture.target("a")), 5, PAST, now)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/TargetNewsCodec.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/TargetNewsCodec.kt
@@ -10,6 +10,7 @@
     .setName(key.name)
     .setEntry(value)
     .setVersion(version)
+    .setCreated(created)
     .build()
 
 internal fun removalNews(id: TargetId, version: Long): TargetNews =
@@ -17,4 +18,4 @@
 
 /** Returns the entry as an object of [kind]. */
 internal fun TargetNews.toStored(kind: String): StoredObject =
-    StoredObject(ObjectKey(kind, name), version, "", entry)
+    StoredObject(ObjectKey(kind, name), version, "", entry, created)
