Bound what all responses together keep in memory

Cause: a head, an event and a buffered body were bounded each alone. With 50 faulty targets of 16 slots the sum exceeds the heap of 96 MB; header lines of 6 bytes besides take some 25 times their size.

Change: BufferBudget bounds the sum for each loop beyond a free share of each response; the response that exceeds it ends as one that is too long, a buffered body is passed on as it arrives. At most 100 header fields a response. The buffer of a stream shrinks after a long event.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Exchange.kt
@@ -1,6 +1,7 @@
 /** The life cycle of one caller's request. */
 package burdockspread.forward.exchange
 
+import burdockspread.buffer.BufferBudget
 import burdockspread.error.Refusal
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.load.AttemptOutcome
@@ -101,7 +102,7 @@
     public companion object {
         /**
          * Returns an exchange for [call]; [policy] balances the load of its service, [quarantine]
-         * knows the prompts that crash targets.
+         * knows the prompts that crash targets, [buffers] bounds what all exchanges keep.
          */
         public operator fun invoke(
             call: Call,
@@ -110,7 +111,8 @@
             listener: ExchangeListener = ExchangeListener.NONE,
             options: ExchangeOptions = ExchangeOptions(),
             quarantine: PromptQuarantine = PromptQuarantine(HostId("local")),
-        ): Exchange = RealExchange(call, policy, budget, listener, options, quarantine)
+            buffers: BufferBudget = BufferBudget(Int.MAX_VALUE, 0),
+        ): Exchange = RealExchange(call, policy, budget, listener, options, quarantine, buffers)
     }
 }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -1,6 +1,7 @@
 /** The state machine of one request. */
 package burdockspread.forward.exchange
 
+import burdockspread.buffer.BufferBudget
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.forward.directory.TargetEntry
@@ -24,10 +25,11 @@
     private val listener: ExchangeListener,
     private val options: ExchangeOptions,
     quarantine: PromptQuarantine,
+    buffers: BufferBudget,
 ) : Exchange {
     private val kind = call.route.kind
     private val emitter = ResponseEmitter(call, listener)
-    private val assembly = ResponseAssembly(call, emitter, listener, options)
+    private val assembly = ResponseAssembly(call, emitter, listener, options, buffers.open())
     private val history = AttemptHistory(call, budget)
     private val ending = FinalResponse(call, emitter, history)
     private val silence = SilencePolicy(call.route, options)
@@ -250,7 +252,7 @@
         emitter.emit(ExchangeEffect.Cancel(attempt.number))
         reportEnd(attempt, silence.outcome, "silent for ${attempt.silence(now)}", now)
         history.onSuperseded(attempt, silence.outcome)
-        emitter.restart()
+        assembly.restart()
         send(successor, now, isSuccessor = true)
     }
 
@@ -317,7 +319,7 @@
         val concluded = if (mayBeCrash && hasBegun) AttemptOutcome.CRASHED else outcome
         endAttempt(attempt, concluded, detail, now)
         history.onFailed(attempt, concluded)
-        emitter.restart()
+        assembly.restart()
         val phase = emitter.phase
         if (phase is ResponseEmitter.Relaying) {
             return phase.abort("truncated response: $detail", history.count, now)
@@ -374,7 +376,10 @@
     private inline fun step(block: () -> Unit): ImmutableList<ExchangeEffect> {
         if (isEnded) return persistentListOf()
         block()
-        if (isEnded) history.releaseRetries()
+        if (isEnded) {
+            history.releaseRetries()
+            assembly.release()
+        }
         return emitter.takeEffects()
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -1,15 +1,21 @@
 /** The body of a target's response on its way to the caller. */
 package burdockspread.forward.exchange
 
+import burdockspread.buffer.BufferAccount
 import burdockspread.forward.load.AttemptOutcome
 import kotlin.time.Instant
 
-/** Forwards events and responses too large to buffer as they arrive, and buffers the others. */
+/**
+ * Forwards events and responses too large to buffer as they arrive, and buffers the others.
+ *
+ * @param kept what this request may keep of the host's memory.
+ */
 internal class ResponseAssembly(
     private val call: Call,
     private val emitter: ResponseEmitter,
     private val listener: ExchangeListener,
     private val options: ExchangeOptions,
+    private val kept: BufferAccount,
 ) {
     private var lastEventAt = call.receivedAt
 
@@ -34,6 +40,15 @@
         }
     }
 
+    /** Discards what is kept of an attempt, since another one follows. */
+    fun restart() {
+        emitter.restart()
+        kept.release()
+    }
+
+    /** Returns the memory of a request that has ended. */
+    fun release(): Unit = kept.release()
+
     /** Returns what the complete response of [attempt] lacks to be a whole stream, if anything. */
     fun shortfall(attempt: Attempt, head: ResponseHead): String? = when {
         !attempt.isStreaming -> null
@@ -44,8 +59,13 @@
 
     private fun onEvents(attempt: Attempt, count: Int, now: Instant): String? {
         if (count > 0) onEvent(attempt, now)
-        attempt.onPartialProgress(emitter.pendingBytes, options, now)
-        return if (emitter.pendingBytes > options.maxEventBytes) "an event" else null
+        val pending = emitter.pendingBytes
+        attempt.onPartialProgress(pending, options, now)
+        return when {
+            pending > options.maxEventBytes -> "an event"
+            !kept.tryKeep(pending) -> "an event, beside those of other responses"
+            else -> null
+        }
     }
 
     private fun onEvent(attempt: Attempt, now: Instant) {
@@ -63,8 +83,9 @@
         now: Instant,
     ): String? {
         attempt.buffer.write(bytes)
-        attempt.onPartialProgress(attempt.buffer.size(), options, now)
-        if (attempt.buffer.size() <= options.bufferBytes) return null
+        val size = attempt.buffer.size()
+        attempt.onPartialProgress(size, options, now)
+        if (size <= options.bufferBytes && kept.tryKeep(size)) return null
         if (!head.isValidFor(call)) return "a response without signature or id"
         val phase = emitter.phase
         if (phase !is ResponseEmitter.NotBegun) return "a response that is not the stream"
@@ -72,6 +93,7 @@
         attempt.onProgress(now)
         phase.relay(head, attempt.buffer.toByteArray())
         attempt.buffer.reset()
+        kept.release()
         return null
     }
 }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
@@ -56,6 +56,7 @@
     public fun restart() {
         size = 0
         lineStart = 0
+        shrink()
         startEvent()
     }
 
@@ -80,6 +81,14 @@
         buffer.copyInto(buffer, 0, count, size)
         size -= count
         lineStart -= count
+        shrink()
+    }
+
+    /** Frees the memory of a long event that has been forwarded. */
+    private fun shrink() {
+        if (size <= INITIAL_BYTES && buffer.size > RETAINED_BYTES) {
+            buffer = buffer.copyOf(INITIAL_BYTES)
+        }
     }
 
     private fun isBlank(start: Int, end: Int): Boolean =
@@ -114,6 +123,9 @@
 
     private companion object {
         const val INITIAL_BYTES = 512
+
+        /** Size up to which the buffer stays for the next event. */
+        const val RETAINED_BYTES = 8_192
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeScenario.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ExchangeScenario.kt
@@ -1,5 +1,6 @@
 package burdockspread.forward.exchange
 
+import burdockspread.buffer.BufferBudget
 import burdockspread.error.Refusal
 import burdockspread.forward.Fixture
 import burdockspread.forward.catalog.CallKind
@@ -25,6 +26,7 @@
     prompt: Prompt? = null,
     quarantine: PromptQuarantine = PromptQuarantine(HostId("h")),
     id: String = ID,
+    buffers: BufferBudget = BufferBudget(Int.MAX_VALUE, 0),
 ) {
     val policy = ScriptedPolicy(targets.toList(), replicaTarget)
     val exchange = Exchange(
@@ -43,6 +45,7 @@
         budget,
         listener,
         quarantine = quarantine,
+        buffers = buffers,
     )
 
     fun begin(): ExchangeScenario = apply { exchange.start(Fixture.START) }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -137,6 +137,7 @@
         transport.listen(transport.requests, settings.operatorAddress, operators::onConnection)
         loads?.start()
         metrics.gauge("burdock_forward_open_requests") { server.openRequests }
+        metrics.gauge("burdock_forward_buffered_bytes") { server.bufferedBytes }
         metrics.gauge("burdock_forward_hosts") { peers.hostCount }
         metrics.gauge("burdock_forward_view_age_seconds") {
             viewUpdater.age(clock.now()).toDouble(DurationUnit.SECONDS)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -2,6 +2,7 @@
 package burdockspread.forward.host
 
 import arrow.core.Either
+import burdockspread.buffer.BufferBudget
 import burdockspread.error.ErrorCode
 import burdockspread.error.Refusal
 import burdockspread.forward.catalog.CallerLimits
@@ -53,6 +54,7 @@
     /** Responses to probes carry no id, so they must not share connections with requests. */
     private val probeConnections = Connections(transport, transport.requests)
     private val callers = LinkedHashSet<CallerConnection>()
+    private val responses = BufferBudget(RESPONSES_BYTES, FREE_RESPONSE_BYTES)
     private val context = RunnerContext(
         loop = transport.requests,
         connections = targetConnections,
@@ -70,6 +72,9 @@
     var openRequests: Int = 0
         private set
 
+    /** Memory of responses that cannot be passed on yet, beyond the free share of each. */
+    val bufferedBytes: Int get() = responses.drawnBytes
+
     /** Starts the periodic tick. */
     fun start() {
         transport.requests.scheduleSupervised("request tick", TICK_INTERVAL, ::tick)
@@ -190,6 +195,7 @@
             pool.budget,
             metrics,
             quarantine = quarantine.quarantine,
+            buffers = responses,
         )
         val runner = ExchangeRunner(exchange, request, writer, context)
         pool.running[call.localId] = runner
@@ -258,6 +264,12 @@
         val TICK_INTERVAL = 50.milliseconds
         const val SWEEP_TICKS = 10
 
+        /** Memory of responses that cannot be passed on yet; buffers have up to twice the size. */
+        const val RESPONSES_BYTES = 12_582_912
+
+        /** Many times the usual size of an event and of a response to a plain call. */
+        const val FREE_RESPONSE_BYTES = 8_192
+
         val RETRY_AFTER_DRAIN = 50.milliseconds
 
         /** Limits that apply while no configuration is known. */
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -1,6 +1,8 @@
 /** Suspending HTTP calls to the store and to peers. */
 package burdockspread.forward.http
 
+import burdockspread.buffer.BufferAccount
+import burdockspread.buffer.BufferBudget
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -53,6 +55,7 @@
     private val maxBodyBytes: Int = MAX_BODY_BYTES,
 ) : Calls {
     private val dispatcher = loop.asCoroutineDispatcher()
+    private val bodies = BufferBudget(2 * maxBodyBytes, FREE_BODY_BYTES)
 
     override suspend fun call(
         address: String,
@@ -65,7 +68,8 @@
     private suspend fun exchange(address: String, request: CallRequest): CallResult =
         suspendCancellableCoroutine { continuation ->
             var outgoing: OutgoingRequest? = null
-            val handler = BufferingResponseHandler(maxBodyBytes) { result, reusable ->
+            val kept = bodies.open()
+            val handler = BufferingResponseHandler(maxBodyBytes, kept) { result, reusable ->
                 outgoing?.let {
                     if (result is CallResult.Response) it.release(reusable) else it.cancel()
                 }
@@ -73,7 +77,12 @@
             }
             outgoing = connections.send(address, encode(address, request), handler)
             val pending = outgoing
-            continuation.invokeOnCancellation { loop.execute { pending.cancel() } }
+            continuation.invokeOnCancellation {
+                loop.execute {
+                    pending.cancel()
+                    handler.discard()
+                }
+            }
         }
 
     private fun encode(address: String, request: CallRequest): DefaultFullHttpRequest {
@@ -91,6 +100,9 @@
     private companion object {
         /** Four times the largest value of the store, which lists may exceed a little. */
         const val MAX_BODY_BYTES = 4_194_304
+
+        /** Size of the usual responses of peers. */
+        const val FREE_BODY_BYTES = 16_384
     }
 }
 
@@ -98,9 +110,10 @@
 
 private class BufferingResponseHandler(
     private val maxBodyBytes: Int,
+    private val kept: BufferAccount,
     private val onResult: (CallResult, Boolean) -> Unit,
 ) : ResponseHandler {
-    private val body = ByteArrayOutputStream()
+    private var body = ByteArrayOutputStream()
     private var status = 0
 
     override fun onResponseHead(response: HttpResponse) {
@@ -108,16 +121,27 @@
     }
 
     override fun onBody(bytes: ByteArray) {
-        if (body.size() + bytes.size <= maxBodyBytes) return body.write(bytes)
-        log.warn("a response exceeds {} bytes; the connection is closed", maxBodyBytes)
-        body.reset()
-        onResult(CallResult.NoResponse, false)
+        val size = body.size() + bytes.size
+        if (size <= maxBodyBytes && kept.tryKeep(size)) return body.write(bytes)
+        log.warn("a response of {} bytes is too long, or too long beside others; closing", size)
+        finish(CallResult.NoResponse)
     }
 
     override fun onEnd(reusable: Boolean): Unit =
-        onResult(CallResult.Response(status, body.toByteArray()), reusable)
+        finish(CallResult.Response(status, body.toByteArray()), reusable)
+
+    override fun onNotConnected(): Unit = finish(CallResult.NotSent)
 
-    override fun onNotConnected(): Unit = onResult(CallResult.NotSent, false)
+    override fun onBroken(malformed: Boolean): Unit = finish(CallResult.NoResponse)
 
-    override fun onBroken(malformed: Boolean): Unit = onResult(CallResult.NoResponse, false)
+    /** Frees what has arrived of a response that nobody waits for. */
+    fun discard() {
+        body = ByteArrayOutputStream()
+        kept.release()
+    }
+
+    private fun finish(result: CallResult, reusable: Boolean = false) {
+        discard()
+        onResult(result, reusable)
+    }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
@@ -1,13 +1,18 @@
 /** HTTP/1.1 codecs that reject messages whose end is ambiguous. */
 package burdockspread.forward.http
 
+import burdockspread.buffer.BufferBudget
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 
 private const val INITIAL_LINE_BYTES = 8_192
 private const val CHUNK_BYTES = 65_536
@@ -41,8 +46,17 @@
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
 
-/** Decodes targets' responses. */
-internal class ResponseDecoder : HttpResponseDecoder(config(RESPONSE_HEADER_BYTES)) {
+/**
+ * Decodes targets' responses.
+ *
+ * @param heads memory of the heads that have arrived in part on all connections.
+ */
+internal class ResponseDecoder(heads: BufferBudget) : HttpResponseDecoder(responseConfig()) {
+    private val kept = heads.open()
+
+    /** Number of decoded bytes of a head, chunk size or trailer whose end has not arrived. */
+    private var partialBytes = 0
+
     /** Whether the request was a HEAD, whose response has no body. */
     var isHead: Boolean = false
 
@@ -55,7 +69,44 @@
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        val messages = out.size
+        val before = buffer.readableBytes()
+        super.decode(context, buffer, out)
+        val left = buffer.readableBytes()
+        partialBytes = if (out.size > messages) 0 else partialBytes + before - left
+        val partial = if (out.size > messages) 0 else partialBytes + left
+        if (!kept.tryKeep(partial)) {
+            throw TooLongHttpHeaderException("a head of $partial bytes, beside those of others")
+        }
+    }
+
+    override fun handlerRemoved0(context: ChannelHandlerContext) {
+        kept.release()
+        super.handlerRemoved0(context)
+    }
+
     private companion object {
         const val RESPONSE_HEADER_BYTES = 32_768
+
+        fun responseConfig(): HttpDecoderConfig = config(RESPONSE_HEADER_BYTES)
+            .setHeadersFactory(LimitedHeaders)
+            .setTrailersFactory(LimitedHeaders)
     }
 }
+
+/** Creates headers of limited number, since a short line takes many times its size in memory. */
+private object LimitedHeaders : HttpHeadersFactory {
+    private const val MAX_FIELDS = 100
+
+    override fun newHeaders(): HttpHeaders = object : DefaultHttpHeaders() {
+        override fun add(name: CharSequence, value: Any): HttpHeaders {
+            if (size() >= MAX_FIELDS) {
+                throw TooLongHttpHeaderException("more than $MAX_FIELDS header fields")
+            }
+            return super.add(name, value)
+        }
+    }
+
+    override fun newEmptyHeaders(): HttpHeaders = newHeaders()
+}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -1,6 +1,7 @@
 /** Client connection pool of one event loop. */
 package burdockspread.forward.http
 
+import burdockspread.buffer.BufferBudget
 import burdockspread.forward.exchange.ConnectionUse
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
@@ -60,6 +61,7 @@
 public class Connections(private val transport: Transport, private val loop: EventLoop) {
     private val idle = HashMap<String, ArrayDeque<IdleConnection>>()
     private val distrustedUntil = HashMap<String, Long>()
+    private val heads = BufferBudget(HEADS_BYTES, FREE_HEAD_BYTES)
 
     /** Sends [request] to [address] over a connection that [use] allows. */
     public fun send(
@@ -79,7 +81,7 @@
     }
 
     private fun install(channel: SocketChannel) {
-        val decoder = ResponseDecoder()
+        val decoder = ResponseDecoder(heads)
         channel.pipeline().addLast(HttpRequestEncoder(), decoder, Receiver(decoder))
     }
 
@@ -187,6 +189,12 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
 
+        /** Memory of heads in arrival beyond [FREE_HEAD_BYTES] each; the largest has 32 KB. */
+        const val HEADS_BYTES = 4_194_304
+
+        /** Several times the usual size of a head. */
+        const val FREE_HEAD_BYTES = 2_048
+
         /** A target in such trouble repeats it for seconds; new connections cost little. */
         val DISTRUST_TIME = 5.seconds
         val log = LogManager.getLogger(Connections::class.java)
