End responses that go on without getting anywhere, and share the loop's time

What callers saw: with interim responses (1xx) without end a request waited for its deadline (504) instead of going on elsewhere or ending at once; targets that flood with tiny chunks or with comments took the host's processor from other callers (seen in the review as a suspicion, not measured again).

Cause: interim responses, comments and repeated events had no limit of their own; one connection could read 1 MB in its turn, and each chunk was handled by itself.

Change: 16 interim responses a request, 1 MB between two events; a turn reads at most 16 KB, and what one read brings is handed over at once.

The share of the processor has no test of its own.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/Call.kt
@@ -127,6 +127,8 @@
     public val bufferBytes: Int = 262_144,
     /** Maximum size of one event of a stream. */
     public val maxEventBytes: Int = 262_144,
+    /** Maximum size of comments and repeated events between two events of a stream. */
+    public val maxBytesWithoutEvent: Int = 1_048_576,
     /** Maximum size of the responses to other requests that one attempt skips. */
     public val maxSkippedBytes: Int = 262_144,
     /** Maximum number of responses to other requests that one attempt skips. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -63,6 +63,7 @@
         attempt.onPartialProgress(pending, options, now)
         return when {
             pending > options.maxEventBytes -> "an event"
+            emitter.bytesWithoutEvent > options.maxBytesWithoutEvent -> "the bytes between events"
             !kept.tryKeep(pending) -> "an event, beside those of other responses"
             else -> null
         }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
@@ -31,6 +31,9 @@
     /** Size of the incomplete event in bytes. */
     val pendingBytes: Int get() = framer.pendingBytes
 
+    /** Number of bytes since the last event that was forwarded. */
+    val bytesWithoutEvent: Int get() = framer.bytesWithoutEvent
+
     fun emit(effect: ExchangeEffect) {
         effects = effects.add(effect)
     }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/SseFramer.kt
@@ -25,6 +25,10 @@
     public var events: Int = 0
         private set
 
+    /** Size of comments and events that the caller already has, since the last event. */
+    public var bytesWithoutEvent: Int = 0
+        private set
+
     /** Size of the incomplete event in bytes. */
     public val pendingBytes: Int get() = size
 
@@ -56,6 +60,7 @@
     public fun restart() {
         size = 0
         lineStart = 0
+        bytesWithoutEvent = 0
         shrink()
         startEvent()
     }
@@ -102,11 +107,17 @@
     }
 
     private fun endEvent(start: Int, end: Int, out: ByteArrayOutputStream) {
-        if (isUnseen(eventId)) {
+        val isForwarded = isUnseen(eventId)
+        if (isForwarded) {
             out.write(buffer, start, end - start)
-            if (hasField) events++
             eventId?.let { lastId = it }
         }
+        if (isForwarded && hasField) {
+            events++
+            bytesWithoutEvent = 0
+        } else {
+            bytesWithoutEvent += end - start
+        }
         startEvent()
     }
 
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseBuffersTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ResponseBuffersTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What a host keeps of responses that it cannot pass on yet. */
@@ -44,6 +45,18 @@
         assertEquals(20_000, assertIs<ExchangeEffect.Body>(effects[1]).bytes.size)
     }
 
+    // Guards against a target that keeps a stream busy with bytes that are no event.
+    @Test
+    fun `comments and repeated events without end are no stream`() {
+        listOf(": busy\n\n", "id: 1\ndata: old\n\n").forEach { text ->
+            val stream = streaming()
+            stream.event(1, 1, now)
+            val bytes = text.repeat(10_000).encodeToByteArray()
+            val effects = (0..30).flatMap { stream.exchange.onBody(1, bytes, now) }
+            assertTrue(effects.any { it is ExchangeEffect.Cancel }, text)
+        }
+    }
+
     private fun streaming(): ExchangeScenario {
         val targets = arrayOf(Fixture.target("a"), Fixture.target("b"))
         val stream = ExchangeScenario(CallKind.RESUMABLE_STREAM, *targets, buffers = budget)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -3,7 +3,6 @@
 
 import burdockspread.buffer.BufferBudget
 import burdockspread.forward.exchange.ConnectionUse
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoop
@@ -18,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import org.apache.logging.log4j.LogManager
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
 
@@ -208,6 +208,10 @@
     private var isRequestSent: () -> Boolean = { true }
     private var keepAlive = true
     private var isInterim = false
+    private var interimResponses = 0
+
+    /** What has been read of a body and not been handed over yet. */
+    private var arrived = ByteArrayOutputStream()
 
     /** Called when bytes have arrived that belong to no request. */
     var onUnsolicitedBytes: () -> Unit = {}
@@ -222,6 +226,8 @@
         this.isRequestSent = isRequestSent
         decoder.isHead = isHead
         keepAlive = true
+        interimResponses = 0
+        arrived.reset()
     }
 
     fun detach() {
@@ -244,19 +250,40 @@
             context.close()
             return
         }
-        if (message.decoderResult().isFailure) {
-            handler = null
-            context.close()
-            activeHandler.onBroken(malformed = true)
-            return
-        }
+        if (message.decoderResult().isFailure) return reject(context, activeHandler)
         if (message is HttpResponse) onResponseHead(message, activeHandler)
+        if (interimResponses > MAX_INTERIM_RESPONSES) return reject(context, activeHandler)
         if (message is HttpContent && !isInterim) onContent(message)
     }
 
+    /** Hands over what one read has brought, which may be many small chunks. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        handOver()
+        context.fireChannelReadComplete()
+    }
+
+    private fun handOver() {
+        if (arrived.size() == 0) return
+        val bytes = arrived.toByteArray()
+        arrived.reset()
+        handler?.onBody(bytes)
+    }
+
+    /** Closes a connection whose bytes are no response. */
+    private fun reject(context: ChannelHandlerContext, activeHandler: ResponseHandler) {
+        handOver()
+        val isDone = handler !== activeHandler
+        handler = null
+        context.close()
+        if (!isDone) activeHandler.onBroken(malformed = true)
+    }
+
     private fun onResponseHead(response: HttpResponse, activeHandler: ResponseHandler) {
         isInterim = response.status().code() < FIRST_FINAL_STATUS
-        if (isInterim) return
+        if (isInterim) {
+            interimResponses++
+            return
+        }
         val headers = response.headers()
         keepAlive = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
@@ -268,11 +295,15 @@
     }
 
     private fun onContent(content: HttpContent) {
-        if (content.content().isReadable) handler?.onBody(ByteBufUtil.getBytes(content.content()))
-        if (content is LastHttpContent) handler?.onEnd(keepAlive && isRequestSent())
+        val bytes = content.content()
+        if (bytes.isReadable) bytes.readBytes(arrived, bytes.readableBytes())
+        if (content !is LastHttpContent) return
+        handOver()
+        handler?.onEnd(keepAlive && isRequestSent())
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        handOver()
         val activeHandler = handler
         handler = null
         context.close()
@@ -280,6 +311,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        handOver()
         val activeHandler = handler
         handler = null
         activeHandler?.onBroken(malformed = false)
@@ -287,6 +319,9 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** Servers send one or two; more of them keep a request waiting without an answer. */
+        const val MAX_INTERIM_RESPONSES = 16
         const val MILLIS_PER_SECOND = 1_000L
         const val KEEP_ALIVE_MARGIN_MILLIS = 400L
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Transport.kt
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandler
@@ -104,6 +105,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, shortReads())
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 CONNECT_TIMEOUT.inWholeMilliseconds.toInt(),
@@ -125,6 +127,11 @@
             )
     }
 
+    /** Reads from a server that sends without end leave the loop's time to other connections. */
+    private fun shortReads() =
+        AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+            .maxMessagesPerRead(1)
+
     /** Shuts the event loops down. */
     public fun close() {
         group.shutdownGracefully(
@@ -159,6 +166,11 @@
         const val LOOPS = 2
         const val BACKLOG = 1_024
         const val CLOSE_TIMEOUT_MILLIS = 200L
+        const val MIN_READ_BYTES = 64
+        const val INITIAL_READ_BYTES = 2_048
+
+        /** Several responses of usual size; a page of the store takes some tens of reads. */
+        const val MAX_READ_BYTES = 16_384
 
         /** Netty cuts longer datagrams off. A report on 500 targets has about 12,000 bytes. */
         const val MAX_DATAGRAM_BYTES = 32_768
