--- a/burdock-core/src/main/kotlin/burdockspread/buffer/BufferBudget.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/buffer/BufferBudget.kt
@@ -24,6 +24,7 @@
 
         override fun tryKeep(bytes: Int): Boolean {
             val wanted = (bytes - freeBytes).coerceAtLeast(0)
+            if (wanted == drawn) return true
             val isExceeded = wanted > drawn && drawnBytes + wanted - drawn > capacity
             if (isExceeded) return false
             drawnBytes += wanted - drawn
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
@@ -73,9 +73,13 @@
         val messages = out.size
         val before = buffer.readableBytes()
         super.decode(context, buffer, out)
+        if (out.size > messages) {
+            partialBytes = 0
+            return kept.release()
+        }
         val left = buffer.readableBytes()
-        partialBytes = if (out.size > messages) 0 else partialBytes + before - left
-        val partial = if (out.size > messages) 0 else partialBytes + left
+        partialBytes += before - left
+        val partial = partialBytes + left
         if (!kept.tryKeep(partial)) {
             throw TooLongHttpHeaderException("a head of $partial bytes, beside those of others")
         }
