--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -151,11 +151,17 @@
     public fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant)
 }
 
-/** Load that a target reports for all hosts together. */
+/**
+ * Load that a target reports for all hosts together.
+ *
+ * @property slowdown how long work takes on the target's machine at the moment, as a multiple of
+ * the usual, or null if the target does not say. It changes many times per second.
+ */
 public data class ReportedLoad(
     public val running: Int,
     public val waiting: Int,
     public val slots: Int,
+    public val slowdown: Double? = null,
 )
 
 /**
