Replace the known peers as a whole, since two loops read them

Cause: /state runs on the request loop and iterated the set of peers that the control loop changes; once in five runs of RolloutHostsTest it threw ConcurrentModificationException and an operator got no answer. Shown: PeerAddressesTest, failed before, passes; RolloutHostsTest three times in a row.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -11,6 +11,8 @@
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetLoss
 import com.google.protobuf.InvalidProtocolBufferException
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -34,7 +36,9 @@
     private val random: Random,
     private val timing: UpdateTiming = UpdateTiming(),
 ) {
-    private val peers = LinkedHashSet<String>(seeds - ownAddress)
+    /** Replaced by the control loop as a whole, since the request loop reads it too. */
+    @Volatile
+    private var peers: PersistentSet<String> = (seeds - ownAddress).toPersistentSet()
 
     /** What each peer's last reply said of the peer, for the next request to echo. */
     private val lastHeard = HashMap<String, LastHeard>()
@@ -47,14 +51,14 @@
 
     /** Adds a host, unless its address is malformed. */
     public fun onPeer(address: String) {
-        if (address != ownAddress && isIpv4Endpoint(address)) peers += address
+        if (address != ownAddress && isIpv4Endpoint(address)) peers = peers.add(address)
     }
 
     /** Replaces the known hosts by the listed ones; the seeds stay while the store lists none. */
     public fun onListed(addresses: List<String>) {
         if (addresses.isNotEmpty()) {
-            peers.clear()
-            addresses.forEach(::onPeer)
+            val others = addresses.filter { it != ownAddress && isIpv4Endpoint(it) }
+            peers = others.toPersistentSet()
             lastHeard.keys.retainAll(peers)
         }
     }
