Carry out the operator's rollouts: trial, verdict, shift, completed or reverted

Cause: nothing knew the orders. Change: package rollout (decisions without network or clock), VersionGate in the load policy, orders by watches of the relays and in the news to followers, counts in datagrams, states written under the revision that was read.

--- a/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
@@ -32,6 +32,13 @@
         writeId: String,
     ): WriteResult
 
+    /** Writes the [status] of an object beside its value, if [condition] holds. */
+    public suspend fun putStatus(
+        key: ObjectKey,
+        status: String,
+        condition: WriteCondition.AtVersion,
+    ): WriteResult = WriteResult.Refused("this store has no statuses")
+
     /** Deletes the object if [condition] holds. */
     public suspend fun delete(key: ObjectKey, condition: WriteCondition.AtVersion): WriteResult
 
--- a/burdock-core/src/main/kotlin/burdockspread/store/StoredObject.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/StoredObject.kt
@@ -17,4 +17,5 @@
     public val writeId: String,
     public val value: String,
     public val created: Long = 0,
+    public val status: String = "",
 )
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetEntry.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetEntry.kt
@@ -12,6 +12,7 @@
  * @property startedAtMillis start of this incarnation in Unix milliseconds, or 0 if unknown.
  * @property sequence number of the target's own changes within one incarnation.
  * @property storeVersion store version of this state, or 0 if unknown.
+ * @property version version of the target's software, or empty if unknown.
  * @property created when the entry was created, in the store's unit; differs after a removal.
  */
 public data class TargetEntry(
@@ -25,6 +26,7 @@
     public val sequence: Long,
     public val storeVersion: Long = 0,
     public val created: Long = 0,
+    public val version: String = "",
 ) {
     /** Returns whether [other] is the same incarnation of the same target. */
     public fun isSameIncarnation(other: TargetEntry): Boolean =
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/NextPlacement.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/NextPlacement.kt
@@ -71,6 +71,7 @@
             avoidedTargets = history.avoidedTargets,
             preferredTarget = history.replica?.id,
             wantsReplica = call.route.kind == CallKind.RESUMABLE_STREAM,
+            route = call.route.name,
         )
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -67,13 +67,21 @@
     /** Returns statistics for metrics and state dumps. */
     public fun stats(now: Instant): PoolStats
 
-    /** Creates the policy of one service on a host in [localDomain]. */
+    /** Creates the policy of one service on a host in `localDomain`. */
     public fun interface Factory {
         public fun create(
             localDomain: FailureDomainId,
             seed: Long,
+            versions: VersionGate,
             lossListener: TargetLossListener,
         ): LoadPolicy
+
+        /** Creates a policy that treats all versions of the targets alike. */
+        public fun create(
+            localDomain: FailureDomainId,
+            seed: Long,
+            lossListener: TargetLossListener,
+        ): LoadPolicy = create(localDomain, seed, VersionGate.NONE, lossListener)
     }
 
     public companion object {
@@ -81,8 +89,8 @@
         public fun factory(
             options: LoadOptions = LoadOptions(),
             prompts: PromptLocations = PromptLocations(),
-        ): Factory = Factory { domain, seed, lossListener ->
-            RealLoadPolicy(domain, seed, lossListener, options, prompts)
+        ): Factory = Factory { domain, seed, versions, lossListener ->
+            RealLoadPolicy(domain, seed, lossListener, options, prompts, versions)
         }
     }
 }
@@ -104,6 +112,8 @@
  * @property avoidedTargets targets that failed this request.
  * @property preferredTarget target that holds a KV cache replica of the earlier attempt, or null.
  * @property wantsReplica whether a second target should keep a replica of the attempt's KV cache.
+ * @property route name of the request's route.
+ * @property isTrial whether it tries a new version of the service; see [VersionGate].
  * @property supersedes outcome of the earlier attempt, which stays in flight until the request is
  * placed and then ends; null if no attempt is in flight.
  */
@@ -119,6 +129,8 @@
     public val preferredTarget: TargetId? = null,
     public val wantsReplica: Boolean = false,
     public val supersedes: AttemptOutcome? = null,
+    public val route: String = "",
+    public val isTrial: Boolean = false,
 )
 
 /** The decision on a placement request. */
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -26,6 +26,7 @@
     private val lossListener: TargetLossListener,
     private val options: LoadOptions,
     private val prompts: PromptLocations,
+    private val versions: VersionGate,
 ) : LoadPolicy,
     InFlightTracker {
     private val random = Random(seed)
@@ -47,9 +48,13 @@
             this.targets.getOrPut(listed.entry.id) { TargetLoad(listed, now) }.onListed(listed, now)
         }
         pool = this.targets.values.toList()
+        versions.onTargets(targets.map { it.entry })
     }
 
     override fun submit(request: PlacementRequest, now: Instant): PlacementDecision {
+        if (!request.isResume && !request.isTrial && versions.isTrial(request, now)) {
+            return submit(request.copy(isTrial = true), now)
+        }
         if (queue.canOvertake(request)) place(request, now)?.let { return it }
         if (targets.isEmpty() && !request.isResume) return PlacementDecision.Refused(noTarget())
         if (request.supersedes != null && targets.keys.all { it in request.avoidedTargets }) {
@@ -102,9 +107,11 @@
 
     override fun onResponseHead(localId: Long, load: ReportedLoad?, now: Instant) {
         placements[localId]?.let { targets[it] }?.onResponseHead(localId, load, now)
+        versions.onResponseHead(localId, now)
     }
 
     override fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant) {
+        versions.onEnded(localId, outcome, now)
         replicas.remove(localId)?.let { targets[it] }?.remove(localId)
         val target = placements.remove(localId)?.let { targets[it] } ?: return
         target.onEnded(localId, outcome, now)
@@ -141,6 +148,7 @@
         val unread = if (chosen === locate(request, now)) 0 else request.promptTokens
         chosen.add(request.localId, RequestLoad(unread, totalTokens, now))
         request.prompt?.let { prompts.onSent(it, chosen.entry.id, now) }
+        versions.onSent(request, chosen.entry, now)
         if (replicaTarget != null) {
             replicas[request.localId] = replicaTarget.entry.id
             replicaTarget.add(
@@ -153,7 +161,9 @@
 
     private fun choose(request: PlacementRequest, now: Instant): TargetLoad? {
         val preferred = request.preferredTarget?.let { targets[it] }
-        if (preferred != null && preferred.isSound(now)) return preferred
+        if (preferred != null && preferred.isSound(now) && versions.allows(preferred, request)) {
+            return preferred
+        }
         val reader = locate(request, now)
         val sample = sample().let { if (reader == null || reader in it) it else it + reader }
         return chooseFrom(sample, request, reader, now)
@@ -173,8 +183,9 @@
         reader: TargetLoad?,
         now: Instant,
     ): TargetLoad? {
-        val eligible =
-            open.filter { it.entry.id !in request.avoidedTargets && hasCapacity(it, request, now) }
+        val eligible = versions.preferred(open, request) {
+            it.entry.id !in request.avoidedTargets && hasCapacity(it, request, now)
+        }
         val healthy = eligible.filter { it.isSound(now) }
         val fallback =
             { eligible.filterNot { it.isEjected(now) }.ifEmpty { lastResort(request, now) } }
@@ -191,7 +202,8 @@
 
     /** Targets that already failed this request or are ejected, if the pool has no others. */
     private fun lastResort(request: PlacementRequest, now: Instant): List<TargetLoad> {
-        val open = pool.filterNot { it.isGone(now) || !it.isOpen(now) }
+        val open =
+            pool.filter { !it.isGone(now) && it.isOpen(now) && versions.allows(it, request) }
         val hasOthers = open.any { it.entry.id !in request.avoidedTargets }
         return if (request.supersedes != null || hasOthers) emptyList() else open
     }
@@ -205,7 +217,9 @@
         primary: TargetLoad,
         now: Instant,
     ): TargetLoad? {
-        val open = sample().filter {
+        // A trial that fails goes on at the old version.
+        val next = request.copy(isTrial = false)
+        val open = versions.preferred(sample(), next) {
             it !== primary &&
                 it.entry.id !in request.avoidedTargets &&
                 it.isSound(now)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -87,6 +87,22 @@
         { peers.hostCount },
         LoadPolicy.factory(prompts = prompts),
         TargetLossListener(::broadcastLoss),
+        { rollouts.gate(it) },
+        { orders, now -> rollouts.onOrders(orders, now) },
+    )
+    private val rolloutLog = RolloutLog(metrics)
+    private val rollouts: RolloutHost = RolloutHost(
+        if (settings.hasRollouts()) settings.rollouts else null,
+        rolloutLog,
+    ) { loads?.send(it) }
+    private val reporter = RolloutReporter(
+        HostId(settings.host.name),
+        deployment,
+        store,
+        clock,
+        rollouts,
+        rolloutLog,
+        viewUpdater::onRollout,
     )
     private val archive = QuarantineStore(store, clock, scope)
     private val quarantine = QuarantineHost(
@@ -106,6 +122,7 @@
             pools,
             prompts,
             clock::now,
+            rollouts::onEvidence,
         ) { news, sender -> quarantine.onNews(news, sender, clock.now()) }
     }
     private val server: RequestServer = RequestServer(
@@ -117,6 +134,7 @@
         metrics,
         loads,
         quarantine,
+        rollouts,
     )
     private val stopped = CompletableDeferred<ExitCode>()
 
@@ -196,15 +214,18 @@
             store,
         ) { listed ->
             following.onListed(listed)
+            reporter.onHosts(listed.map { it.id })
             val nearby = listed.filter { it.failureDomain == domain && it.id.value != self.name }
             loads?.let { exchange ->
                 exchange.onPeers(nearby.map { it.peerAddress })
                 val others = listed.filter { it.id.value != self.name }
                     .map { exchange.endpoint(it.peerAddress) }
+                exchange.allHosts = others
                 transport.requests.execute { quarantine.onHosts(others, clock.now()) }
             }
         }
         scope.launchSupervised("host list", hostList::run)
+        if (rollouts.isEnabled) scope.launchSupervised("rollout reports", reporter::run)
         scope.launchSupervised("archived verdicts") {
             val verdicts = archive.load()
             transport.requests.execute { quarantine.onArchived(verdicts, clock.now()) }
@@ -219,6 +240,13 @@
                 KindWatcher(kind, store, viewUpdater, clock, startsCached = startsCached).run()
             }
         }
+        if (rollouts.isEnabled) launchSupervised("watch of rollouts") { watchRollouts() }
+    }
+
+    private suspend fun watchRollouts() {
+        val wait = RolloutReporter.WATCH_WAIT
+        val patientStore = deployment.store(settings.storeAddress, calls, wait)
+        KindWatcher(deployment.rolloutKind, patientStore, reporter.listener(), clock).run()
     }
 
     private fun completeStop(problem: String?) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -10,6 +10,7 @@
 import burdockspread.wire.forward.PromptAtTarget
 import burdockspread.wire.forward.QuarantineNews
 import burdockspread.wire.forward.TargetRuns
+import burdockspread.wire.forward.VersionEvidence
 import com.google.protobuf.InvalidProtocolBufferException
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
@@ -29,6 +30,7 @@
  * acknowledged. Confined to the request loop, except for [onPeers].
  *
  * @param address IP:port of this host; the other hosts listen on the same port.
+ * @param onEvidence called with another host's counts of a rollout.
  * @param onQuarantineNews called with the news of another host and its address.
  */
 internal class LoadExchange(
@@ -38,6 +40,7 @@
     private val pools: ServicePools,
     private val prompts: PromptLocations,
     private val now: () -> Instant,
+    private val onEvidence: (HostId, VersionEvidence) -> Unit = { _, _ -> },
     private val onQuarantineNews: (QuarantineNews, InetSocketAddress) -> Unit = { _, _ -> },
 ) {
     private val loads = PeerLoads()
@@ -48,6 +51,10 @@
     @Volatile
     private var peers = emptyList<InetSocketAddress>()
 
+    /** Where the other hosts of all failure domains listen. */
+    @Volatile
+    var allHosts: List<InetSocketAddress> = emptyList()
+
     /** Opens the port. Must be called before [tick]. */
     fun start() {
         channel = transport.listenDatagrams(address, Receiver())
@@ -63,10 +70,16 @@
         InetSocketAddress(peerAddress.substringBeforeLast(':'), port)
 
     /** Sends [news] to each of [receivers]. */
-    fun send(news: QuarantineNews, receivers: Collection<InetSocketAddress>) {
+    fun send(news: QuarantineNews, receivers: Collection<InetSocketAddress>): Unit =
+        send(HostLoads.newBuilder().setQuarantine(news), receivers)
+
+    /** Sends [evidence] to the hosts of all failure domains. */
+    fun send(evidence: VersionEvidence): Unit =
+        send(HostLoads.newBuilder().setEvidence(evidence), allHosts)
+
+    private fun send(message: HostLoads.Builder, receivers: Collection<InetSocketAddress>) {
         val open = channel ?: return
-        val bytes = HostLoads.newBuilder().setHost(self.value).setQuarantine(news).build()
-            .toByteArray()
+        val bytes = message.setHost(self.value).build().toByteArray()
         receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
         open.flush()
     }
@@ -117,6 +130,7 @@
                     log.warn("load report from {} is malformed: {}", packet.sender(), e.message)
                     return
                 }
+            if (message.hasEvidence()) return onEvidence(HostId(message.host), message.evidence)
             if (message.hasQuarantine()) {
                 return onQuarantineNews(message.quarantine, packet.sender())
             }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -47,6 +47,7 @@
     private val metrics: ForwardMetrics,
     private val loads: LoadExchange?,
     private val quarantine: QuarantineHost,
+    private val rollouts: RolloutHost,
 ) : CallerHandler {
     private val router = RequestRouter(System.nanoTime())
     private val targetConnections = Connections(transport, transport.requests)
@@ -213,7 +214,7 @@
         if (!runner.exchange.isEnded) return
         val pool = pools.pool(runner.exchange.call.service)
         if (pool.running.remove(runner.exchange.call.localId) != null) openRequests--
-        if (pool.policy.waiting > 0) transport.requests.execute(::poll)
+        if (pool.policy.waiting > 0) transport.requests.execute { pools.poll(clock.now()) }
     }
 
     private var ticks = 0
@@ -222,13 +223,12 @@
         val now = clock.now()
         pools.apply(view(), now)
         pools.poll(now)
+        rollouts.tick(now)
         loads?.tick()
         quarantine.tick(now)
         if (++ticks % SWEEP_TICKS == 0) callers.toList().forEach { it.closeExpired(now) }
     }
 
-    private fun poll(): Unit = pools.poll(clock.now())
-
     private fun probe(target: TargetEntry, onResult: (ProbeResult) -> Unit) {
         val path = deployment.protocol.probePath
         val request =
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -4,6 +4,8 @@
 import burdockspread.forward.http.ExchangeRunner
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.TargetLossListener
+import burdockspread.forward.load.VersionGate
+import burdockspread.forward.rollout.RolloutOrder
 import burdockspread.id.FailureDomainId
 import burdockspread.id.ServiceId
 import burdockspread.retry.RetryBudget
@@ -24,6 +26,8 @@
     private val hosts: () -> Int,
     private val factory: LoadPolicy.Factory,
     private val lossListener: TargetLossListener,
+    private val gate: (ServiceId) -> VersionGate = { VersionGate.NONE },
+    private val onRollouts: (Collection<RolloutOrder>, Instant) -> Unit = { _, _ -> },
 ) {
     private val pools = HashMap<ServiceId, ServicePool>()
     private var applied: HostView? = null
@@ -33,7 +37,12 @@
     fun entries(): Map<ServiceId, ServicePool> = pools
 
     fun pool(service: ServiceId): ServicePool = pools.getOrPut(service) {
-        val policy = factory.create(domain, seed + service.value.hashCode(), lossListener)
+        val policy = factory.create(
+            domain,
+            seed + service.value.hashCode(),
+            gate(service),
+            lossListener,
+        )
         // Half of the shared slack, since a token bucket may spend its capacity within any window.
         val capacity = (retries.slack / (2 * hosts().coerceAtLeast(MIN_HOSTS))).toInt()
         val budget = RetryBudget(retries.ratio * RETRY_RATIO_MARGIN, capacity.coerceAtLeast(1))
@@ -42,8 +51,10 @@
 
     /** Applies a new snapshot to the policies. */
     fun apply(view: HostView, now: Instant) {
-        if (view.catalog === applied?.catalog && view.directory === applied?.directory) return
+        val before = applied
+        if (view.rollouts !== before?.rollouts) onRollouts(view.rollouts.values, now)
         applied = view
+        if (view.catalog === before?.catalog && view.directory === before?.directory) return
         val catalog = view.catalog ?: return
         catalog.services.forEach { (id, service) ->
             val targets = view.directory.services[id] ?: persistentListOf()
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/StateDump.kt
@@ -32,6 +32,17 @@
         put("routes", view.catalog?.routes?.size ?: 0)
     }
     putTargets(view)
+    putJsonObject("rollouts") {
+        view.rollouts.values.forEach { order ->
+            putJsonObject(order.service.value) {
+                put("version", order.version)
+                put("state", order.state.name)
+                put("storeVersion", order.storeVersion)
+                put("age", (now - order.orderedAt).toString())
+                put("duration", order.duration.toString())
+            }
+        }
+    }
     putJsonObject("pools") {
         pools.entries().forEach { (service, pool) ->
             val stats = pool.policy.stats(now)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -10,6 +10,7 @@
 import burdockspread.forward.host.Deployment
 import burdockspread.forward.host.HostView
 import burdockspread.forward.relay.UpdateTiming
+import burdockspread.forward.rollout.RolloutOrder
 import burdockspread.id.TargetId
 import burdockspread.store.KindListener
 import burdockspread.store.ListResult
@@ -19,6 +20,7 @@
 import burdockspread.wire.forward.NewsReply
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetNews
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
@@ -143,6 +145,7 @@
         .setAddress(address)
         .setCatalogVersion(view.catalog?.version ?: 0)
         .setTargetsVersion(directory.version)
+        .setRolloutsVersion(view.rolloutsVersion)
         .build()
 
     /**
@@ -158,6 +161,7 @@
     private fun hasUpdate(request: NewsRequest): Boolean =
         directory.version > request.targetsVersion ||
             (view.catalog?.version ?: 0) > request.catalogVersion ||
+            view.rolloutsVersion > request.rolloutsVersion ||
             request.processId != processId ||
             heardAt().toEpochMilliseconds() > request.heardAtMillis
 
@@ -177,6 +181,7 @@
         if (version > request.catalogVersion) reply.catalog = catalogText
         reply.targetsVersion = directory.version
         reply.processId = processId
+        view.rollouts.values.forEach { reply.addRollouts(it.toNews(clock.now())) }
         val changed = journal.changedSince(request.targetsVersion)
         if (changed != null) {
             reply.changesOnly = true
@@ -202,9 +207,22 @@
             onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
             if (isNewer) applyTargets(reply, now)
         }
+        reply.rolloutsList.mapNotNull { it.toOrder(now) }.forEach(::onRollout)
         publish(now)
     }
 
+    /** Applies the state of a rollout, wherever it comes from. */
+    public fun onRollout(read: RolloutOrder) {
+        val before = view
+        val known = before.rollouts[read.service]
+        val next = known?.updatedBy(read) ?: read
+        if (next == known) return
+        current.set(
+            before.copy(rollouts = before.rollouts.toPersistentMap().put(read.service, next)),
+        )
+        changes.value++
+    }
+
     private fun applyTargets(reply: NewsReply, now: Instant) {
         val (removed, present) = reply.targetsList.partition { it.entry.isEmpty() }
         val objects = present.map { it.toStored(deployment.targetKind) }
