Send no request whose caller left while the host read late

Cause: a host that starts (8 s at 0.12 of a core) or lags reads requests seconds after they arrived; the end of the connection is seen by the read after that, when the request is already at a target.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -69,6 +69,10 @@
     @Volatile
     private var stop: PlannedStop? = null
 
+    /** A start takes a small host longer than some callers wait. */
+    private var readsLateUntil = clock.now() + LATE_AFTER_START
+    private var lastTickAt = clock.now()
+
     @Volatile
     var openRequests: Int = 0
         private set
@@ -128,6 +132,8 @@
 
     override fun isDraining(): Boolean = stop != null
 
+    override fun isReadingLate(): Boolean = clock.now() < readsLateUntil
+
     override fun onRejected(refusal: Refusal): Unit = metrics.onRequestRejected(null, "", refusal)
 
     override fun requestId(head: HttpRequest): String? = callerFields(head).id
@@ -221,6 +227,8 @@
 
     private fun tick() {
         val now = clock.now()
+        if (now - lastTickAt > LATE_TICK) readsLateUntil = maxOf(readsLateUntil, now + LATE_TIME)
+        lastTickAt = now
         pools.apply(view(), now)
         pools.poll(now)
         rollouts.tick(now)
@@ -264,6 +272,11 @@
         val TICK_INTERVAL = 50.milliseconds
         const val SWEEP_TICKS = 10
 
+        /** Delay of a tick that shows that the loop does not keep up, and what follows from it. */
+        val LATE_TICK = 250.milliseconds
+        val LATE_TIME = 1.seconds
+        val LATE_AFTER_START = 5.seconds
+
         /** Memory of responses that cannot be passed on yet; buffers have up to twice the size. */
         const val RESPONSES_BYTES = 12_582_912
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -39,6 +39,7 @@
     private var listener: CallerConnectionListener? = null
     private var writer: ChannelResponseWriter? = null
     private var isReadingQueue = false
+    private val presence = CallerPresence()
     private var isStopping = false
     private var answered = 0
 
@@ -177,6 +178,9 @@
     /** Reads queued messages until a response is in progress or the caller reads too slowly. */
     private fun readQueue() {
         if (isReadingQueue) return
+        if (pipelined.size > 0 && !isClosing && presence.isUncertain(handler.isReadingLate())) {
+            return presence.check { afterNextRead { if (presence.onChecked()) readQueue() } }
+        }
         isReadingQueue = true
         try {
             while (!isResponding && !isClosing && context.channel().isWritable) {
@@ -264,6 +268,7 @@
         writer = null
         listener = null
         requestId = null
+        presence.reset()
         idle.restart(at, handler.limits().idleTimeout)
         readQueue()
         if (isStopping) closeGracefully(at)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
@@ -36,6 +36,12 @@
     /** Called with an unexpected exception, which ends the connection and its request with [id]. */
     public fun onUnexpectedException(id: String?, cause: Throwable)
 
+    /**
+     * Whether the host reads late what has arrived, so that callers may have left meanwhile. Their
+     * requests are then handled only after another read has not shown the end of the connection.
+     */
+    public fun isReadingLate(): Boolean = false
+
     /** Whether the host is draining, so that connections close after their current response. */
     public fun isDraining(): Boolean
 }
