Tell the hosts of a domain which prompts a target has yet to read

A host knew the unread prompts of its own requests only, one in seventeen. Change: load reports carry the prompt tokens that a target has not responded to (HostLoad); they count in its score for 2 s, fading.

--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Policies.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Policies.kt
@@ -5,6 +5,7 @@
 import burdockspread.forward.directory.ListedTarget
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.load.AttemptOutcome
+import burdockspread.forward.load.HostLoad
 import burdockspread.forward.load.InFlightTracker
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
@@ -112,9 +113,9 @@
 
     override fun onPeerLostTarget(target: TargetId, now: Instant): Boolean = false
 
-    override fun localLoads(): ImmutableMap<TargetId, Int> = persistentMapOf()
+    override fun localLoads(): ImmutableMap<TargetId, HostLoad> = persistentMapOf()
 
-    override fun onPeerLoads(loads: Map<TargetId, Int>, at: Instant): Unit = Unit
+    override fun onPeerLoads(loads: Map<TargetId, HostLoad>, at: Instant): Unit = Unit
 
     /** The emulated runners ask for nothing. */
     override fun onNotice(target: TargetEntry, notice: TargetNotice, now: Instant): Unit = Unit
--- a/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Trial.kt
+++ b/burdock-benchmarks/src/main/kotlin/burdockspread/bench/load/Trial.kt
@@ -7,6 +7,7 @@
 import burdockspread.forward.directory.ListedTarget
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.load.AttemptOutcome
+import burdockspread.forward.load.HostLoad
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
 import burdockspread.forward.load.PlacementRequest
@@ -109,10 +110,15 @@
     private fun exchangeLoads(group: List<Int>, sharing: Sharing) {
         val at = simulation.now
         val loads = group.associateWith { hosts[it].localLoads() }
-        val sum = HashMap<TargetId, Int>()
-        loads.values.forEach { own -> own.forEach { (id, runs) -> sum.merge(id, runs, Int::plus) } }
+        val sum = HashMap<TargetId, HostLoad>()
+        loads.values.forEach { own ->
+            own.forEach { (id, load) -> sum.merge(id, load, HostLoad::plus) }
+        }
         group.forEach { index ->
-            val others = sum.mapValues { (id, runs) -> runs - (loads.getValue(index)[id] ?: 0) }
+            val others = sum.mapValues { (id, load) ->
+                val own = loads.getValue(index)[id] ?: HostLoad(0)
+                HostLoad(load.runs - own.runs, load.unreadTokens - own.unreadTokens)
+            }
             val delay = sharing.meanDelaySeconds * (0.5 + random.nextDouble())
             simulation.after(delay) { hosts[index].onPeerLoads(others, at) }
         }
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/LoadPolicy.kt
@@ -53,13 +53,13 @@
     public val waiting: Int
 
     /**
-     * Returns the number of this host's requests at each model runner, to be reported to other
-     * hosts. Empty for plain services, whose calls end before a report would arrive.
+     * Returns this host's load on each model runner, to be reported to other hosts. Empty for
+     * plain services, whose calls end before a report would arrive.
      */
-    public fun localLoads(): ImmutableMap<TargetId, Int>
+    public fun localLoads(): ImmutableMap<TargetId, HostLoad>
 
-    /** Sets the number of requests that the reporting hosts have at each target, as of [at]. */
-    public fun onPeerLoads(loads: Map<TargetId, Int>, at: Instant)
+    /** Sets the load that the reporting hosts put on each target, as of [at]. */
+    public fun onPeerLoads(loads: Map<TargetId, HostLoad>, at: Instant)
 
     /** Returns the tracker that receives the events of placed requests. */
     public fun inFlight(): InFlightTracker
@@ -176,6 +176,17 @@
     public val slowdown: Double? = null,
 )
 
+/**
+ * Load of one or several hosts on a target.
+ *
+ * @property runs requests that run or wait there.
+ * @property unreadTokens prompt tokens of those that the target has not responded to yet.
+ */
+public data class HostLoad(public val runs: Int, public val unreadTokens: Int = 0) {
+    public operator fun plus(other: HostLoad): HostLoad =
+        HostLoad(runs + other.runs, unreadTokens + other.unreadTokens)
+}
+
 /**
  * What a target asks of its callers.
  *
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/PeerLoads.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/PeerLoads.kt
@@ -18,7 +18,7 @@
  */
 public class PeerLoads {
     private val reports = HashMap<HostId, PeerReport>()
-    private var lastSentLoads: Map<TargetId, Int> = emptyMap()
+    private var lastSentLoads: Map<TargetId, HostLoad> = emptyMap()
     private var sentAt: Instant = Instant.DISTANT_PAST
     private var interval: Duration = MIN_INTERVAL
 
@@ -27,34 +27,39 @@
         private set
 
     /** Records the [loads] of [host]; [sequence] increases with each message of one host. */
-    public fun onReport(host: HostId, sequence: Long, loads: Map<TargetId, Int>, now: Instant) {
+    public fun onReport(
+        host: HostId,
+        sequence: Long,
+        loads: Map<TargetId, HostLoad>,
+        now: Instant,
+    ) {
         val before = reports[host]
         if (before != null && before.sequence >= sequence) return
         reports[host] = PeerReport(sequence, loads, now)
         changed = true
     }
 
-    /** Returns the other hosts' requests at each target, or null while no host reports any. */
-    public fun total(now: Instant): Map<TargetId, Int>? {
+    /** Returns the other hosts' load on each target, or null while no host reports any. */
+    public fun total(now: Instant): Map<TargetId, HostLoad>? {
         reports.values.removeIf { now - it.at > EXPIRY }
         changed = false
         if (reports.isEmpty()) return null
-        val sum = HashMap<TargetId, Int>()
+        val sum = HashMap<TargetId, HostLoad>()
         reports.values.forEach { host ->
-            host.loads.forEach { (target, runs) -> sum.merge(target, runs, Int::plus) }
+            host.loads.forEach { (target, load) -> sum.merge(target, load, HostLoad::plus) }
         }
         return sum
     }
 
     /** Returns whether [localLoads] should be sent now. */
-    public fun isDue(localLoads: ImmutableMap<TargetId, Int>, now: Instant): Boolean {
+    public fun isDue(localLoads: ImmutableMap<TargetId, HostLoad>, now: Instant): Boolean {
         val since = now - sentAt
         return since >= REFRESH_INTERVAL || (since >= interval && localLoads != lastSentLoads)
     }
 
     /** Records that [localLoads] were sent to [peers] hosts in messages of [bytes] bytes. */
     public fun onSent(
-        localLoads: ImmutableMap<TargetId, Int>,
+        localLoads: ImmutableMap<TargetId, HostLoad>,
         peers: Int,
         bytes: Int,
         now: Instant,
@@ -65,7 +70,11 @@
         interval = maxOf(MIN_INTERVAL, minInterval.seconds)
     }
 
-    private class PeerReport(val sequence: Long, val loads: Map<TargetId, Int>, val at: Instant)
+    private class PeerReport(
+        val sequence: Long,
+        val loads: Map<TargetId, HostLoad>,
+        val at: Instant,
+    )
 
     public companion object {
         /**
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/RealLoadPolicy.kt
@@ -86,14 +86,16 @@
         queue.remove(localId)
     }
 
-    override fun localLoads(): ImmutableMap<TargetId, Int> {
+    override fun localLoads(): ImmutableMap<TargetId, HostLoad> {
         if (service?.engine == null) return persistentMapOf()
         val used = pool.filter { it.localRequests > 0 }
-        return used.associate { it.entry.id to it.localRequests }.toImmutableMap()
+        return used.associate { it.entry.id to HostLoad(it.localRequests, it.pendingPrefillTokens) }
+            .toImmutableMap()
     }
 
-    override fun onPeerLoads(loads: Map<TargetId, Int>, at: Instant) {
-        if (service?.engine != null) pool.forEach { it.onPeerLoad(loads[it.entry.id] ?: 0, at) }
+    override fun onPeerLoads(loads: Map<TargetId, HostLoad>, at: Instant) {
+        if (service?.engine == null) return
+        pool.forEach { it.onPeerLoad(loads[it.entry.id] ?: HostLoad(0), at) }
     }
 
     override fun onNotice(target: TargetEntry, notice: TargetNotice, now: Instant) {
@@ -277,7 +279,8 @@
         val egress = if (target.entry.failureDomain == localDomain) 0.0 else options.egressPenalty
         val load =
             target.localRequests + target.remoteLoad(now, decayTime(), baseline.meanRemoteLoad)
-        val prefillLoad = target.pendingPrefillTokens / PREFILL_TOKENS_PER_REQUEST
+        val unread = target.pendingPrefillTokens + target.remoteUnreadTokens(now)
+        val prefillLoad = unread / PREFILL_TOKENS_PER_REQUEST
         val excessFailureRate = (target.failureRate - baseline.failureRate).coerceAtLeast(0.0)
         val errorPenalty = excessFailureRate * options.failurePenalty
         val domainPenalty = if (isDomainSuspect(target, now)) options.suspectDomainPenalty else 0.0
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/load/TargetLoad.kt
@@ -26,6 +26,8 @@
     private var replicas = 0
     private var remoteLoad = 0.0
     private var remoteLoadAt: Instant = Instant.DISTANT_PAST
+    private var remoteUnreadTokens = 0
+    private var remoteUnreadAt: Instant = Instant.DISTANT_PAST
     private var failureEwma = 0.0
     private var latencyEwma = 0.0
     private var ejectedUntil: Instant = Instant.DISTANT_PAST
@@ -50,6 +52,7 @@
         knownSince = now
         failureEwma = 0.0
         remoteLoad = 0.0
+        remoteUnreadTokens = 0
         ejectedUntil = Instant.DISTANT_PAST
         ejectionTime = ZERO
         pausedUntil = Instant.DISTANT_PAST
@@ -120,13 +123,24 @@
         remoteLoadAt = now
     }
 
-    /** Records that other hosts reported [runs] requests at the target as of [at]. */
-    fun onPeerLoad(runs: Int, at: Instant) {
+    /** Records the [load] of other hosts on the target as of [at]. */
+    fun onPeerLoad(load: HostLoad, at: Instant) {
+        remoteUnreadTokens = load.unreadTokens
+        remoteUnreadAt = at
         if (at <= remoteLoadAt) return
-        remoteLoad = runs.toDouble()
+        remoteLoad = load.runs.toDouble()
         remoteLoadAt = at
     }
 
+    /**
+     * Returns the prompt tokens of other hosts that the target has yet to read. It reads one prompt
+     * after the other, so a request behind them waits.
+     */
+    fun remoteUnreadTokens(now: Instant): Double {
+        val age = (now - remoteUnreadAt) / UNREAD_DECAY
+        return remoteUnreadTokens * (1.0 - age).coerceIn(0.0, 1.0)
+    }
+
     fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant) {
         val request = removeRequest(localId) ?: return
         when (outcome) {
@@ -183,6 +197,9 @@
         /** Weight of the latest response in the moving averages of failure rate and latency. */
         const val EWMA_WEIGHT = 0.15
         val BASE_EJECTION_TIME = 300.milliseconds
+
+        /** About the time in which an engine reads the prompts that it has been sent. */
+        val UNREAD_DECAY = 2.seconds
     }
 }
 
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -4,6 +4,7 @@
 import burdockspread.forward.directory.ListedTarget
 import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.load.AttemptOutcome
+import burdockspread.forward.load.HostLoad
 import burdockspread.forward.load.InFlightTracker
 import burdockspread.forward.load.LoadPolicy
 import burdockspread.forward.load.PlacementDecision
@@ -73,9 +74,9 @@
 
     override val waiting: Int = 0
 
-    override fun localLoads(): ImmutableMap<TargetId, Int> = persistentMapOf()
+    override fun localLoads(): ImmutableMap<TargetId, HostLoad> = persistentMapOf()
 
-    override fun onPeerLoads(loads: Map<TargetId, Int>, at: Instant): Unit = Unit
+    override fun onPeerLoads(loads: Map<TargetId, HostLoad>, at: Instant): Unit = Unit
 
     override fun inFlight(): InFlightTracker = this
 
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/LoadPolicyTest.kt
@@ -56,6 +56,24 @@
         assertEquals(listOf(10L), settled.map { it.localId })
     }
 
+    // Two hosts send prompts at the same time; the engine reads one after the other.
+    @Test
+    fun `a prompt goes where no other host's prompt waits to be read`() {
+        val policy = enginePolicy("one" to "north", "two" to "north")
+        policy.onPeerLoads(
+            mapOf(TargetId("one") to HostLoad(1, 5_000), TargetId("two") to HostLoad(2)),
+            now + 1.milliseconds,
+        )
+        val chosen = (1L..8L).map {
+            val placed = policy.submit(engineCall(it), now + 2.milliseconds)
+            policy.inFlight().onEnded(it, AttemptOutcome.CANCELLED, now + 2.milliseconds)
+            assertIs<PlacementDecision.Placed>(placed).target.id.value
+        }
+        assertEquals(setOf("two"), chosen.toSet())
+        val later = policy.submit(engineCall(9), now + 2_100.milliseconds)
+        assertEquals("one", assertIs<PlacementDecision.Placed>(later).target.id.value)
+    }
+
     @Test
     fun `an expired wait is refused as not run with a retry delay`() {
         val policy = enginePolicy("n1" to "north")
@@ -266,7 +284,7 @@
     fun `a target that has read the prompt is not overloaded for it`() {
         prompts.onPeerSent(PROMPT, TargetId("one"), now)
         val policy = enginePolicy("one" to "north", "two" to "north")
-        policy.onPeerLoads(mapOf(TargetId("one") to 7), now + 1.milliseconds)
+        policy.onPeerLoads(mapOf(TargetId("one") to HostLoad(7)), now + 1.milliseconds)
         assertEquals("two", placedAt(policy, engineCall(1).copy(prompt = PROMPT)))
     }
 
@@ -274,13 +292,13 @@
     fun `a prompt is not looked for where its target has restarted`() {
         val policy = enginePolicy("one" to "north", "two" to "north")
         prompts.onPeerSent(PROMPT, TargetId("one"), now)
-        policy.onPeerLoads(mapOf(TargetId("one") to 2), now + 1.milliseconds)
+        policy.onPeerLoads(mapOf(TargetId("one") to HostLoad(2)), now + 1.milliseconds)
         val targets = listOf(
             Fixture.target("one", startedAtMillis = 2),
             Fixture.target("two"),
         ).map { ListedTarget(it) }.toImmutableList()
         policy.onTargets(Fixture.engineService(), targets, now + 1.seconds)
-        policy.onPeerLoads(mapOf(TargetId("one") to 2), now + 1.seconds)
+        policy.onPeerLoads(mapOf(TargetId("one") to HostLoad(2)), now + 1.seconds)
         assertEquals("two", placedAt(policy, engineCall(1).copy(prompt = PROMPT)))
     }
 
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/TakeoverPlacementTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/load/TakeoverPlacementTest.kt
@@ -23,11 +23,11 @@
         val takeover = takeover(1, first.target.id).copy(preferredTarget = first.replicaTarget?.id)
         val second = assertIs<PlacementDecision.Placed>(policy.submit(takeover, now))
         assertEquals(first.replicaTarget, second.target)
-        assertEquals(mapOf(second.target.id to 1), policy.localLoads())
+        assertEquals(mapOf(second.target.id to 1), policy.localLoads().mapValues { it.value.runs })
         assertEquals(1, policy.stats(now).inFlight)
         assertEquals(1, policy.stats(now).ejected)
         policy.inFlight().onEnded(1, AttemptOutcome.DONE, now)
-        assertEquals(emptyMap(), policy.localLoads())
+        assertEquals(emptyMap(), policy.localLoads().mapValues { it.value.runs })
         assertEquals(0, policy.stats(now).inFlight)
     }
 
@@ -38,15 +38,20 @@
         val first = assertIs<PlacementDecision.Placed>(policy.submit(call(1), now)).target.id
         val other = fill(policy, besides = first)
         assertIs<PlacementDecision.Waiting>(policy.submit(takeover(1, first), now))
-        assertEquals(1, policy.localLoads()[first])
+        assertEquals(1, policy.localLoads()[first]?.runs)
         assertEquals(0, policy.poll(now).size)
         policy.cancel(1)
-        assertEquals(1, policy.localLoads()[first])
+        assertEquals(1, policy.localLoads()[first]?.runs)
         assertIs<PlacementDecision.Waiting>(policy.submit(takeover(1, first), now))
         policy.inFlight().onEnded(other.last(), AttemptOutcome.DONE, now)
         val placed = assertIs<PlacementDecision.Placed>(policy.poll(now).single().decision)
-        assertEquals(null, policy.localLoads()[first])
-        assertEquals(mapOf(placed.target.id to other.size), policy.localLoads())
+        assertEquals(null, policy.localLoads()[first]?.runs)
+        assertEquals(
+            mapOf(placed.target.id to other.size),
+            policy.localLoads().mapValues {
+                it.value.runs
+            },
+        )
     }
 
     // Guards against a takeover by the silent target itself.
@@ -55,7 +60,7 @@
         val policy = policy("n1")
         val first = assertIs<PlacementDecision.Placed>(policy.submit(call(1), now)).target.id
         assertIs<PlacementDecision.Refused>(policy.submit(takeover(1, first), now))
-        assertEquals(mapOf(first to 1), policy.localLoads())
+        assertEquals(mapOf(first to 1), policy.localLoads().mapValues { it.value.runs })
         assertEquals(0, policy.waiting)
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -2,6 +2,7 @@
 package burdockspread.forward.host
 
 import burdockspread.forward.http.Transport
+import burdockspread.forward.load.HostLoad
 import burdockspread.forward.load.PeerLoads
 import burdockspread.forward.load.PromptLocations
 import burdockspread.id.HostId
@@ -104,14 +105,19 @@
         loads.onSent(reported, receivers.size, bytes.size, at)
     }
 
-    private fun localLoads(): ImmutableMap<TargetId, Int> =
+    private fun localLoads(): ImmutableMap<TargetId, HostLoad> =
         pools.all.flatMap { it.policy.localLoads().entries }
             .associate { it.key to it.value }.toImmutableMap()
 
-    private fun encode(reported: Map<TargetId, Int>, at: Instant): ByteArray {
+    private fun encode(reported: Map<TargetId, HostLoad>, at: Instant): ByteArray {
         val message = HostLoads.newBuilder().setHost(self.value).setSequence(++sequence)
-        reported.forEach { (target, runs) ->
-            message.addTargets(TargetRuns.newBuilder().setTarget(target.value).setRuns(runs))
+        reported.forEach { (target, load) ->
+            message.addTargets(
+                TargetRuns.newBuilder()
+                    .setTarget(target.value)
+                    .setRuns(load.runs)
+                    .setUnreadTokens(load.unreadTokens),
+            )
         }
         prompts.recentlySent(at).entries.take(MAX_REPORTED_PROMPTS).forEach { (prompt, target) ->
             message.addPrompts(
@@ -134,8 +140,9 @@
             if (message.hasQuarantine()) {
                 return onQuarantineNews(message.quarantine, packet.sender())
             }
-            val runs = message.targetsList.filter { it.runs in VALID_RUNS }
-                .associate { TargetId(it.target) to it.runs }
+            val runs = message.targetsList
+                .filter { it.runs in VALID_RUNS && it.unreadTokens in VALID_TOKENS }
+                .associate { TargetId(it.target) to HostLoad(it.runs, it.unreadTokens) }
             val at = now()
             loads.onReport(HostId(message.host), message.sequence, runs, at)
             message.promptsList.take(MAX_REPORTED_PROMPTS).forEach {
@@ -160,6 +167,7 @@
 
         /** Requests of one host at one target; other numbers are malformed. */
         val VALID_RUNS = 0..100_000
+        val VALID_TOKENS = 0..1_000_000_000
         val log = LogManager.getLogger(LoadExchange::class.java)
     }
 }
