A host's part of the shared retries follows the number of hosts

Cause: the part was fixed when a service's pool was created, while a host that starts knows few others; with 105 hosts each had that of eight, 14 retries at once in place of 1.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ServicePools.kt
@@ -43,12 +43,16 @@
             gate(service),
             lossListener,
         )
-        // Half of the shared slack, since a token bucket may spend its capacity within any window.
-        val capacity = (retries.slack / (2 * hosts().coerceAtLeast(MIN_HOSTS))).toInt()
-        val budget = RetryBudget(retries.ratio * RETRY_RATIO_MARGIN, capacity.coerceAtLeast(1))
-        ServicePool(policy, budget)
+        ServicePool(policy, RetryBudget(retries.ratio * RETRY_RATIO_MARGIN, retryCapacity()))
     }
 
+    /**
+     * Returns this host's part of half of the slack that all hosts share, since a token bucket may
+     * spend its capacity within any window.
+     */
+    private fun retryCapacity(): Int =
+        (retries.slack / (2 * hosts().coerceAtLeast(MIN_HOSTS))).toInt().coerceAtLeast(1)
+
     /** Applies a new snapshot to the policies. */
     fun apply(view: HostView, now: Instant) {
         val before = applied
@@ -64,6 +68,9 @@
 
     /** Starts or refuses queued requests as far as a decision is possible now. */
     fun poll(now: Instant) {
+        // A host that has just started knows few of the others.
+        val capacity = retryCapacity()
+        pools.values.forEach { it.budget.resize(capacity) }
         // A refusal may run a pipelined request, which adds a pool.
         pools.values.toList().forEach { pool ->
             pool.policy.poll(now).forEach { pool.running[it.localId]?.onPlacement(it.decision) }
--- a/burdock-routing-core/src/main/kotlin/burdockspread/retry/RetryBudget.kt
+++ b/burdock-routing-core/src/main/kotlin/burdockspread/retry/RetryBudget.kt
@@ -14,6 +14,9 @@
     /** Returns a retry that was taken with [tryAcquire] and not made. */
     public fun release()
 
+    /** Changes the largest number of retries that accumulate; what exceeds it is lost. */
+    public fun resize(capacity: Int) {}
+
     /** Creates [RetryBudget] instances. */
     public companion object {
         /**
@@ -36,7 +39,9 @@
 /** Keeps the balance in thousandths of a retry in one atomic. */
 internal class RealRetryBudget(fraction: Double, capacity: Int) : RetryBudget {
     private val creditPerAttempt = (fraction * ONE_RETRY).toLong()
-    private val maxBalance = capacity * ONE_RETRY
+
+    @Volatile
+    private var maxBalance = capacity * ONE_RETRY
     private val balance = AtomicLong(maxBalance)
 
     override fun onFirstAttempt() {
@@ -55,6 +60,11 @@
         balance.updateAndGet { minOf(it + ONE_RETRY, maxBalance) }
     }
 
+    override fun resize(capacity: Int) {
+        maxBalance = capacity * ONE_RETRY
+        balance.updateAndGet { minOf(it, maxBalance) }
+    }
+
     private companion object {
         const val ONE_RETRY = 1_000L
     }
