Bound the memory of callers' requests by one account

Cause: heads, bodies and pipelined requests were bounded for each connection and not for their sum. Change: CallerMemory, a quarter of the heap beyond 8 KiB a connection: a field counts 256 bytes beside its own, a body twice its size while it is read, and all of it until it is answered. When it is used up, incomplete requests are refused as not run, the one first that has not grown for longest; what is complete stays. A decoder drops what it holds of a refused head. Also: the check for callers that have left waits for two reads, since a late loop runs a task before it reads, and a host that stops does not check.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RequestServer.kt
@@ -17,6 +17,7 @@
 import burdockspread.forward.http.CallerConnectionListener
 import burdockspread.forward.http.CallerDecoder
 import burdockspread.forward.http.CallerHandler
+import burdockspread.forward.http.CallerMemory
 import burdockspread.forward.http.Connections
 import burdockspread.forward.http.ExchangeRunner
 import burdockspread.forward.http.ProbeResult
@@ -132,7 +133,10 @@
 
     override fun isDraining(): Boolean = stop != null
 
-    override fun isReadingLate(): Boolean = clock.now() < readsLateUntil
+    // A host that stops sends little, and refuses the rest without delay.
+    override fun isReadingLate(): Boolean = stop == null && clock.now() < readsLateUntil
+
+    override val memory: CallerMemory = CallerMemory(CallerMemory.defaultCapacity())
 
     override fun onRejected(refusal: Refusal): Unit = metrics.onRequestRejected(null, "", refusal)
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerConnection.kt
@@ -40,9 +40,13 @@
     private var writer: ChannelResponseWriter? = null
     private var isReadingQueue = false
     private val presence = CallerPresence()
+    private val memory = handler.memory.open(::refuseIncomplete)
     private var isStopping = false
     private var answered = 0
 
+    /** Memory of the request that is being answered. */
+    private var answering = 0
+
     /** Caller's id of the request that is being read or answered. */
     private var requestId: String? = null
 
@@ -68,20 +72,46 @@
         caller = context.channel().remoteAddress().toString().removePrefix("/")
         ending = GracefulClose(context) { handler.onWriteFailed(caller, it) }
         connections += this
+        decoder.onPartialHead = { if (!isClosing) hasRoom() }
     }
 
     override fun handlerRemoved(context: ChannelHandlerContext) {
+        memory.release()
         connections -= this
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return drop(message)
         pipelined.add(message)
+        if (!hasRoom() && !isResponding) return
         // While the host stops, what has arrived decides whether a response ends the connection.
         if (!isEnding) readQueue()
     }
 
+    /**
+     * Accounts for the memory of what was read and returns whether there is room. Without, a
+     * request that is being read is refused; one that waits behind a response is read no further.
+     */
+    private fun hasRoom(undecodedBytes: Int = 0): Boolean {
+        val head = decoder.partialHeadMemory + undecodedBytes
+        val bytes = partial.memory + answering + pipelined.bytes + head
+        val isIncomplete = !isResponding && (partial.hasHead || state == State.HEAD)
+        if (memory.tryKeep(bytes, isIncomplete)) return true
+        if (!isResponding) refuseIncomplete()
+        return false
+    }
+
+    /** Ends the connection with a refusal of the request that is being read. */
+    private fun refuseIncomplete() {
+        if (isResponding || isClosing) return
+        decoder.discard(context)
+        pipelined.discardAll()
+        reject(OVERLOADED)
+        memory.release()
+    }
+
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (!isClosing && state == State.HEAD) hasRoom(decoder.undecodedBytes)
         if (!isClosing) readQueue()
         context.fireChannelReadComplete()
     }
@@ -111,27 +141,27 @@
     }
 
     /** Returns why the connection has to end at [at], or null. */
-    private fun expiry(at: Instant): Reason? = when (state) {
-        State.RESPONDING -> null
-        State.IDLE -> when {
-            isClosing -> null
-            isStopping -> Reason.STOPPED
-            handler.isDraining() && !expectsFirstRequest(at) -> Reason.DRAINING
-            idle.isExceeded(at) -> Reason.IDLE
-            else -> null
-        }
-        State.HEAD, State.BODY -> when {
-            isClosing -> null
-            isStopping -> Reason.STOPPED
-            partial.isLate(at, handler.limits()) -> Reason.REQUEST_TIMEOUT
-            else -> null
+    private fun expiry(at: Instant): Reason? {
+        // The first request of a new connection may be under way.
+        val isFirstRequestDue = answered == 0 && at - idle.since <= handler.limits().headerTimeout
+        return when (state) {
+            State.RESPONDING -> null
+            State.IDLE -> when {
+                isClosing -> null
+                isStopping -> Reason.STOPPED
+                handler.isDraining() && !isFirstRequestDue -> Reason.DRAINING
+                idle.isExceeded(at) -> Reason.IDLE
+                else -> null
+            }
+            State.HEAD, State.BODY -> when {
+                isClosing -> null
+                isStopping -> Reason.STOPPED
+                partial.isLate(at, handler.limits()) -> Reason.REQUEST_TIMEOUT
+                else -> null
+            }
         }
     }
 
-    /** Whether the first request of a new connection may be under way. */
-    private fun expectsFirstRequest(at: Instant) =
-        answered == 0 && at - idle.since <= handler.limits().headerTimeout
-
     private fun end(reason: Reason, at: Instant) {
         val isReading = state != State.IDLE
         recordEnd(reason, at, if (isReading) partial.limit(handler.limits()) else idle.limit)
@@ -179,7 +209,10 @@
     private fun readQueue() {
         if (isReadingQueue) return
         if (pipelined.size > 0 && !isClosing && presence.isUncertain(handler.isReadingLate())) {
-            return presence.check { afterNextRead { if (presence.onChecked()) readQueue() } }
+            // A loop that is late runs the first task before it reads again, but not the second.
+            return presence.check {
+                afterNextRead { afterNextRead { if (presence.onChecked()) readQueue() } }
+            }
         }
         isReadingQueue = true
         try {
@@ -192,7 +225,8 @@
             isReadingQueue = false
         }
         if (isClosing) pipelined.discardAll()
-        context.channel().config().isAutoRead = pipelined.size <= MAX_PIPELINED
+        val isFull = pipelined.size > MAX_PIPELINED || pipelined.bytes > MAX_PIPELINED_BYTES
+        context.channel().config().isAutoRead = !isFull
     }
 
     private fun read(message: HttpObject) {
@@ -222,21 +256,21 @@
         if (!partial.hasHead || isClosing) return discard(content)
         partial.append(content)
         content.release()
+        if (!hasRoom()) return
         if (partial.bodySize > handler.limits().maxBodyBytes) return reject(bodyTooLarge())
         if (content !is LastHttpContent) return
         val request = partial.complete()
-        val responseWriter = respondTo(request.head)
+        answering = request.head.memory() + request.body.size
+        val responseWriter = ChannelResponseWriter(request.head, context, this)
+        writer = responseWriter
         val accepted = handler.onRequest(request, responseWriter)
         if (writer === responseWriter) listener = accepted
     }
 
-    private fun respondTo(request: HttpRequest?): ChannelResponseWriter =
-        ChannelResponseWriter(request, context, this).also { writer = it }
-
     private fun reject(refusal: Refusal) {
         handler.onRejected(refusal)
         partial.clear()
-        respondTo(null).refuse(refusal)
+        ChannelResponseWriter(null, context, this).also { writer = it }.refuse(refusal)
     }
 
     override fun onResponseBegins(isKeepAlivePossible: Boolean): Duration? {
@@ -269,6 +303,8 @@
         listener = null
         requestId = null
         presence.reset()
+        answering = 0
+        memory.release()
         idle.restart(at, handler.limits().idleTimeout)
         readQueue()
         if (isStopping) closeGracefully(at)
@@ -331,6 +367,17 @@
 
         /** Callers open a new connection, which reaches another host. */
         val RETRY_AFTER_STOP = 50.milliseconds
+
+        /** A retry reaches another host, or this one after what is complete has been answered. */
+        val RETRY_AFTER_OVERLOAD = 200.milliseconds
+        val OVERLOADED = Refusal(
+            ErrorCode.OVERLOADED,
+            "no memory for further requests",
+            RETRY_AFTER_OVERLOAD,
+        )
+
+        /** Bytes of pipelined messages after which the connection is no longer read. */
+        const val MAX_PIPELINED_BYTES = 65_536
         val INTERNAL_ERROR = Refusal(ErrorCode.INTERNAL, "internal error")
     }
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/CallerHandler.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Instant
 
 /** Handles buffered requests of callers. */
-public interface CallerHandler {
+internal interface CallerHandler {
     /** Limits on callers' requests from the newest configuration. */
     public fun limits(): CallerLimits
 
@@ -42,6 +42,9 @@
      */
     public fun isReadingLate(): Boolean = false
 
+    /** Memory of the requests of all callers. */
+    public val memory: CallerMemory
+
     /** Whether the host is draining, so that connections close after their current response. */
     public fun isDraining(): Boolean
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Codecs.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.buffer.BufferBudget
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -24,19 +25,52 @@
     .setAllowDuplicateContentLengths(false)
 
 /** Decodes callers' requests; one with both Content-Length and Transfer-Encoding is malformed. */
-internal class CallerDecoder(headerBytes: Int) : HttpRequestDecoder(config(headerBytes)) {
+internal class CallerDecoder private constructor(
+    headerBytes: Int,
+    private val fields: FieldCounter,
+) : HttpRequestDecoder(
+    config(headerBytes).setHeadersFactory(fields).setTrailersFactory(fields),
+) {
     private var hasBegun = false
     private var decodedBytes = 0L
+    private var isDiscarding = false
+
+    /** Called when the head of a request has grown although its end has not arrived. */
+    var onPartialHead: () -> Unit = {}
+
+    constructor(headerBytes: Int) : this(headerBytes, FieldCounter())
+
+    /** Memory of the fields of a head or trailer that has arrived in part. */
+    val partialHeadMemory: Int get() = fields.count * CallerMemory.FIELD_BYTES
+
+    /** Number of bytes that have arrived and are not decoded yet. */
+    val undecodedBytes: Int get() = actualReadableBytes()
+
+    /** Decodes nothing more; what has arrived in part and what arrives is dropped. */
+    fun discard(context: ChannelHandlerContext) {
+        if (isDiscarding) return
+        isDiscarding = true
+        // The decoder drops its message when it decodes next, even if that is nothing.
+        reset()
+        super.decode(context, Unpooled.EMPTY_BUFFER, mutableListOf())
+        fields.count = 0
+    }
 
     /** Number of bytes that have arrived of a request whose end has not been decoded. */
     val unfinishedBytes: Long get() = if (hasBegun) decodedBytes + actualReadableBytes() else 0
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (isDiscarding) {
+            buffer.skipBytes(buffer.readableBytes())
+            return
+        }
         // The decoder skips control characters and whitespace before a request.
         if (!hasBegun) hasBegun = buffer.forEachByte { it <= ' '.code.toByte() } >= 0
         val before = buffer.readableBytes()
         super.decode(context, buffer, out)
         decodedBytes += before - buffer.readableBytes()
+        if (out.isNotEmpty()) fields.count = 0
+        if (fields.isDue()) onPartialHead()
         if (out.lastOrNull() !is LastHttpContent) return
         hasBegun = false
         decodedBytes = 0
@@ -46,6 +80,34 @@
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
 
+/** Counts the fields of the head or trailer that is being decoded. */
+private class FieldCounter : HttpHeadersFactory {
+    var count = 0
+    private var reported = 0
+
+    /** Whether enough fields have come since the last report. */
+    fun isDue(): Boolean {
+        if (count < reported) reported = count
+        if (count - reported < REPORT_FIELDS) return false
+        reported = count
+        return true
+    }
+
+    override fun newHeaders(): HttpHeaders = object : DefaultHttpHeaders() {
+        override fun add(name: CharSequence, value: Any): HttpHeaders {
+            count++
+            return super.add(name, value)
+        }
+    }
+
+    override fun newEmptyHeaders(): HttpHeaders = newHeaders()
+
+    private companion object {
+        /** More than an ordinary head has. */
+        const val REPORT_FIELDS = 32
+    }
+}
+
 /**
  * Decodes targets' responses.
  *
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/PartialRequest.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/PartialRequest.kt
@@ -23,6 +23,9 @@
     /** Number of bytes of the body that were read. */
     val bodySize: Int get() = body.size()
 
+    /** Memory of what was read; the buffer of the body grows to twice its size. */
+    val memory: Int get() = (head?.memory() ?: 0) + 2 * bodySize
+
     /** Records at [now] whether a head has arrived in part. */
     fun noteHead(isPartial: Boolean, now: Instant) {
         if (!hasHead) startedAt = if (isPartial) startedAt ?: now else null
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerFixture.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/CallerFixture.kt
@@ -29,6 +29,9 @@
     val refusals = ArrayList<Refusal>()
     val errors = ArrayList<Throwable>()
     var callersGone = 0
+
+    /** More than the tests of pipelined requests need. */
+    override val memory = CallerMemory(capacity = 67_108_864)
     private val decoder = CallerDecoder(limits.maxHeaderBytes)
     val connection = CallerConnection(this, { now }, LinkedHashSet(), decoder)
     val channel = SlowChannel(HttpResponseEncoder(), decoder, connection)
