--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -156,6 +156,7 @@
         loads?.start()
         metrics.gauge("burdock_forward_open_requests") { server.openRequests }
         metrics.gauge("burdock_forward_buffered_bytes") { server.bufferedBytes }
+        metrics.gauge("burdock_forward_request_bytes") { server.memory.drawnBytes }
         metrics.gauge("burdock_forward_hosts") { peers.hostCount }
         metrics.gauge("burdock_forward_view_age_seconds") {
             viewUpdater.age(clock.now()).toDouble(DurationUnit.SECONDS)
