Rollouts: ignore counts that are late or doubled

Read as a newcomer: a late datagram of a host had fewer counts than the one before and was taken for those of a new process, so that its responses counted twice. Messages have an increasing sequence, as load reports do.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/rollout/ServiceRollout.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/rollout/ServiceRollout.kt
@@ -36,7 +36,7 @@
 
     /** Mean time to the response head of the old version, in seconds by route. */
     private val usualSeconds = HashMap<String, Double>()
-    private val peers = HashMap<HostId, VersionTally>()
+    private val peers = HashMap<HostId, PeerTally>()
 
     /** Counts of peers that have started anew since. */
     private var earlier = VersionTally()
@@ -60,10 +60,8 @@
         private set
 
     /** Responses that all hosts have had, as far as this one knows. */
-    public val tally: VersionTally get() = peers.values.fold(
-        localTally + earlier,
-        VersionTally::plus,
-    )
+    public val tally: VersionTally
+        get() = peers.values.fold(localTally + earlier) { sum, peer -> sum + peer.tally }
 
     /** Applies the state of the store; returns false if it brings no other version or state. */
     public fun onOrder(read: RolloutOrder, now: Instant): Boolean {
@@ -87,11 +85,17 @@
         onTargets(targets)
     }
 
-    /** Records the counts of another host, which may be late, doubled or those of a new process. */
-    public fun onPeerTally(host: HostId, version: String, counted: VersionTally) {
+    /**
+     * Records the counts of another host, whose messages have an increasing [sequence], also those
+     * of a new process on it. A message that is late or doubled changes nothing.
+     */
+    public fun onPeerTally(host: HostId, sequence: Long, version: String, counted: VersionTally) {
         if (version != order?.version) return
-        val before = peers.put(host, counted) ?: return
-        if (counted.responses < before.responses) earlier += before
+        val before = peers[host]
+        if (before != null && before.sequence >= sequence) return
+        peers[host] = PeerTally(sequence, counted)
+        val isNewProcess = before != null && counted.responses < before.tally.responses
+        if (isNewProcess) earlier += before.tally
     }
 
     override fun onTargets(targets: Collection<TargetEntry>) {
@@ -233,6 +237,8 @@
         localTally = localTally.with(flight.route, change)
     }
 
+    private class PeerTally(val sequence: Long, val tally: VersionTally)
+
     private class Flight(val route: String, val isNew: Boolean, val sentAt: Instant) {
         var headAt: Instant? = null
     }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/rollout/RolloutFleet.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/rollout/RolloutFleet.kt
@@ -78,6 +78,7 @@
     private inner class Host(private val id: HostId) {
         var rollout = ServiceRollout(random = random)
         var cutUntil = Instant.DISTANT_PAST
+        private var sequence = 0L
 
         init {
             rollout.onTargets(targets)
@@ -115,8 +116,11 @@
         }
 
         /** Sends the counts to all hosts; each datagram may be lost. */
-        fun exchange() = hosts.filter { it !== this && random.nextInt(10) > 0 }.forEach {
-            it.rollout.onPeerTally(id, "v2", rollout.localTally)
+        fun exchange() {
+            sequence++
+            hosts.filter { it !== this && random.nextInt(10) > 0 }.forEach {
+                it.rollout.onPeerTally(id, sequence, "v2", rollout.localTally)
+            }
         }
     }
 
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/rollout/ServiceRolloutTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/rollout/ServiceRolloutTest.kt
@@ -5,6 +5,8 @@
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.PlacementRequest
 import burdockspread.forward.load.VersionPreference
+import burdockspread.id.HostId
+import kotlinx.collections.immutable.persistentMapOf
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import kotlin.random.Random
@@ -114,6 +116,23 @@
         assertTrue(new.all { preference(it) == VersionPreference.FIRST })
     }
 
+    @Test
+    fun `late and doubled counts change nothing and those of a new process are added`() {
+        rollout.onOrder(order(), now)
+        val host = HostId("h2")
+        rollout.onPeerTally(host, 5, "v2", counted(10))
+        rollout.onPeerTally(host, 4, "v2", counted(7))
+        rollout.onPeerTally(host, 5, "v2", counted(10))
+        assertEquals(10, rollout.tally.responses)
+        rollout.onPeerTally(host, 6, "v2", counted(3))
+        assertEquals(13, rollout.tally.responses)
+        rollout.onPeerTally(host, 7, "v1", counted(30))
+        assertEquals(13, rollout.tally.responses)
+    }
+
+    private fun counted(responses: Int) =
+        VersionTally(persistentMapOf("r" to RouteTally(new = ResponseCount(responses))))
+
     @Test
     fun `the time of an order is that of the first host that saw it`() {
         rollout.onOrder(order(), now)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LoadExchange.kt
@@ -41,7 +41,7 @@
     private val pools: ServicePools,
     private val prompts: PromptLocations,
     private val now: () -> Instant,
-    private val onEvidence: (HostId, VersionEvidence) -> Unit = { _, _ -> },
+    private val onEvidence: (HostId, Long, VersionEvidence) -> Unit = { _, _, _ -> },
     private val onQuarantineNews: (QuarantineNews, InetSocketAddress) -> Unit = { _, _ -> },
 ) {
     private val loads = PeerLoads()
@@ -76,7 +76,7 @@
 
     /** Sends [evidence] to the hosts of all failure domains. */
     fun send(evidence: VersionEvidence): Unit =
-        send(HostLoads.newBuilder().setEvidence(evidence), allHosts)
+        send(HostLoads.newBuilder().setSequence(++sequence).setEvidence(evidence), allHosts)
 
     private fun send(message: HostLoads.Builder, receivers: Collection<InetSocketAddress>) {
         val open = channel ?: return
@@ -136,7 +136,9 @@
                     log.warn("load report from {} is malformed: {}", packet.sender(), e.message)
                     return
                 }
-            if (message.hasEvidence()) return onEvidence(HostId(message.host), message.evidence)
+            if (message.hasEvidence()) {
+                return onEvidence(HostId(message.host), message.sequence, message.evidence)
+            }
             if (message.hasQuarantine()) {
                 return onQuarantineNews(message.quarantine, packet.sender())
             }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RolloutHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RolloutHost.kt
@@ -61,11 +61,11 @@
         log.onState(order, rollout.tally)
     }
 
-    /** Applies the counts of [host]. */
-    fun onEvidence(host: HostId, evidence: VersionEvidence) {
+    /** Applies the counts of [host], whose messages have an increasing [sequence]. */
+    fun onEvidence(host: HostId, sequence: Long, evidence: VersionEvidence) {
         if (!isEnabled) return
         rollout(ServiceId(evidence.service))
-            .onPeerTally(host, evidence.version, evidence.toTally())
+            .onPeerTally(host, sequence, evidence.version, evidence.toTally())
     }
 
     /** Judges the versions and sends what is due. Called about twenty times per second. */
