--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds all stand-ins that the scripts of cases 6 to 10 start. Needs the JDK only.
+# Builds all stand-ins that the scripts of cases 6 to 8 start. Needs the JDK only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
