--- a/review/standins-2/CrashedStream.java
+++ b/review/standins-2/CrashedStream.java
@@ -16,6 +16,7 @@
     private static final int CLIENTS = 14;
     private final List<Process> processes = new ArrayList<>();
     private final List<String> addresses = new ArrayList<>();
+    private final AtomicInteger[] streams = new AtomicInteger[RUNNERS];
 
     public static void main(String[] args) throws Exception {
         new CrashedStream().run(args);
@@ -32,8 +33,12 @@
             processes.add(process);
             BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()));
             addresses.add("127.0.0.1:" + out.readLine());
+            AtomicInteger running = streams[i - 1] = new AtomicInteger();
             Runner.daemon(() -> {
-                for (String line = out.readLine(); line != null; line = out.readLine()) record.line(line);
+                for (String line = out.readLine(); line != null; line = out.readLine()) {
+                    record.line(line);
+                    if (line.contains(" runs ")) running.incrementAndGet();
+                }
             });
             deployment.store.write("servers", id, entry(i - 1));
         }
@@ -74,8 +79,16 @@
         }
         Thread.sleep(1_200);
         if (hasTrouble) {
-            processes.get(0).destroyForcibly().waitFor();
-            record.line("runner i-llm1 is killed");
+            int busiest = 0;
+            for (int i = 0; i < RUNNERS; i++) if (streams[i].get() > streams[busiest].get()) busiest = i;
+            String id = "i-llm" + (busiest + 1);
+            processes.get(busiest).destroyForcibly().waitFor();
+            record.line("runner " + id + " is killed, with " + streams[busiest] + " streams");
+            Runner.daemon(() -> {
+                // The store removes an entry after three heartbeat intervals of silence.
+                Thread.sleep(3_600);
+                deployment.store.remove("servers", id);
+            });
         }
         for (Thread client : clients) client.join(30_000);
         record.line("streams " + CLIENTS + ", whole " + complete + ", ended as complete before their last piece "
