Forward no target's status that promises "not run" after the call may have run

Cause: a complete, signed response was forwarded whatever its status promises, on three ways: as it is, relayed since it is too large to buffer, or as the last error.

Change: ForwardableResponse states which responses may reach a caller, and ResponseEmitter.begin, through which each of them passes, checks it. 408, 421, 429 and 503 without the statement "not executed" count as failures of the target: repeatable calls are retried and get the last one unchanged, others get 502, outcome unknown. A response that states "not executed" is retried whatever its size.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -89,7 +89,7 @@
         takeover.onReceived(attempt, now)
         policy.inFlight().onResponseHead(call.localId, head.load, now)
         attempt.onBegun(head, now)
-        attempt.isStreaming = kind.isStream && head.isEventStream && head.isValidFor(call)
+        attempt.isStreaming = kind.isStream && head.isEventStream && head.isForwardable(call)
     }
 
     override fun onBody(
@@ -99,11 +99,17 @@
     ): ImmutableList<ExchangeEffect> = ifCurrent(attemptNumber) { attempt ->
         attempt.lastReceivedAt = now
         val exceeded = assembly.onBody(attempt, bytes, now)
-        if (exceeded == null) {
-            crashWatch.onProgress(attempt, now)
-            takeover.onReceived(attempt, now)
-        } else {
-            rejectResponse(attempt, exceeded, now)
+        val head = attempt.head
+        when {
+            exceeded == null -> {
+                crashWatch.onProgress(attempt, now)
+                takeover.onReceived(attempt, now)
+            }
+            head != null && head.notExecuted -> {
+                emitter.emit(ExchangeEffect.Cancel(attempt.number))
+                retryNotExecuted(attempt, head, now)
+            }
+            else -> rejectResponse(attempt, exceeded, now)
         }
     }
 
@@ -257,43 +263,44 @@
     }
 
     /** Closes the connection of a target whose bytes are no response or exceed a [limit]. */
-    private fun rejectResponse(attempt: Attempt, limit: String, now: Instant): Unit =
-        abandonAttempt(attempt, AttemptOutcome.MALFORMED, "malformed or too long: $limit", now)
-
-    private fun abandonAttempt(
-        attempt: Attempt,
-        outcome: AttemptOutcome,
-        detail: String,
-        now: Instant,
-    ) {
+    private fun rejectResponse(attempt: Attempt, limit: String, now: Instant) {
         emitter.emit(ExchangeEffect.Cancel(attempt.number))
-        failAttempt(attempt, outcome, detail, now)
+        failAttempt(attempt, AttemptOutcome.MALFORMED, "malformed or too long: $limit", now)
     }
 
     /** Decides how to handle a complete response that was buffered. */
     private fun completeResponse(attempt: Attempt, head: ResponseHead, now: Instant) {
         val response = BufferedResponse(head, attempt.buffer.toByteArray(), attempt.target)
         when {
-            head.notExecuted -> {
-                val replaced = head.status == MISDIRECTED
-                history.onNotExecuted(counts = !replaced && !attempt.isSuccessor)
-                val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
-                failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
-            }
+            head.notExecuted -> retryNotExecuted(attempt, head, now)
             !head.isValidFor(call) -> failAttempt(
                 attempt,
                 AttemptOutcome.FAILED,
                 "invalid response signature or id",
                 now,
             )
-            head.status >= FIRST_SERVER_ERROR && kind.isRepeatable -> {
+            head.isFailure && kind.isRepeatable -> {
                 ending.lastErrorResponse = response
                 failAttempt(attempt, AttemptOutcome.FAILED, "status ${head.status}", now)
             }
+            !head.isForwardable(call) -> failAttempt(
+                attempt,
+                AttemptOutcome.FAILED,
+                "status ${head.status} from a target that may have run the request",
+                now,
+            )
             else -> respond(attempt, response, now)
         }
     }
 
+    /** Ends an attempt whose target states that it did not execute the request. */
+    private fun retryNotExecuted(attempt: Attempt, head: ResponseHead, now: Instant) {
+        val replaced = head.status == MISDIRECTED
+        history.onNotExecuted(counts = !replaced && !attempt.isSuccessor)
+        val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
+        failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
+    }
+
     /** Sends a complete response of a target, which cannot be a part of a stream that has begun. */
     private fun respond(attempt: Attempt, response: BufferedResponse, now: Instant) {
         val status = "status ${response.head.status}"
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseAssembly.kt
@@ -87,7 +87,7 @@
         val size = attempt.buffer.size()
         attempt.onPartialProgress(size, options, now)
         if (size <= options.bufferBytes && kept.tryKeep(size)) return null
-        if (!head.isValidFor(call)) return "a response without signature or id"
+        if (!head.isForwardable(call)) return "a response that must not be forwarded"
         val phase = emitter.phase
         if (phase !is ResponseEmitter.NotBegun) return "a response that is not the stream"
         attempt.isRelaying = true
@@ -99,8 +99,6 @@
     }
 }
 
-internal const val FIRST_SERVER_ERROR: Int = 500
-
 /** Returns what a complete response says about the target. */
 internal fun ResponseHead.outcome(): AttemptOutcome =
-    if (status >= FIRST_SERVER_ERROR) AttemptOutcome.FAILED else AttemptOutcome.DONE
+    if (isFailure) AttemptOutcome.FAILED else AttemptOutcome.DONE
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ResponseEmitter.kt
@@ -52,7 +52,7 @@
     inner class NotBegun : EventPhase {
         /** Sends a complete response of a target. */
         fun respond(response: BufferedResponse, attempts: Int, now: Instant) {
-            emit(ExchangeEffect.Begin(response.head, response.body.size))
+            begin(response.head, response.body.size)
             if (response.body.isNotEmpty()) emit(ExchangeEffect.Body(response.body))
             end(response.head, response.target, attempts, now)
         }
@@ -65,7 +65,7 @@
 
         /** Starts to forward a response that is too large to buffer with the [bytes] so far. */
         fun relay(head: ResponseHead, bytes: ByteArray) {
-            emit(ExchangeEffect.Begin(head, null))
+            begin(head, null)
             Relaying().also { phase = it }.forward(bytes)
         }
 
@@ -120,10 +120,16 @@
 
     private fun beginStream(head: ResponseHead, length: Int?) {
         if (phase !is NotBegun) return
-        emit(ExchangeEffect.Begin(head, length))
+        begin(head, length)
         phase = Streaming()
     }
 
+    /** Starts the response to the caller; every status of a target leaves the host here. */
+    private fun begin(head: ResponseHead, length: Int?) {
+        check(head.isForwardable(call)) { "status ${head.status} must not be forwarded" }
+        emit(ExchangeEffect.Begin(head, length))
+    }
+
     private fun end(head: ResponseHead, target: TargetEntry, attempts: Int, now: Instant) {
         phase = Ended
         listener.onResponded(call, head.status, attempts, target, now)
