Log how much of a response had arrived when a call is given up

`store_lost ... no answer` says the same of a store that is silent, of one that is slow and of a transfer that is cut, so it can't tell the hypotheses apart. Calls that are given up with a part of their response now say how many bytes came in which time.

Evidence, a host over a link of 7 Mbit/s with a configuration of 850 KB: "giving up GET .../config ...: 447446 bytes in 600 ms", and 386,006 to 497,622 bytes each time it is begun anew: the store answers, the link is full, and the time is up.

Calls keep a timer of their own in place of withTimeoutOrNull; its bound is as before. PlatformStoreTest, EndlessBytesTest and RelayHostsTest hold.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -12,11 +12,14 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withContext
-import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import java.io.ByteArrayOutputStream
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 
 /** Result of a call. */
 public sealed interface CallResult {
@@ -61,29 +64,20 @@
         address: String,
         request: CallRequest,
         timeout: Duration,
-    ): CallResult = withContext(dispatcher) {
-        withTimeoutOrNull(timeout) { exchange(address, request) } ?: CallResult.NoResponse
-    }
+    ): CallResult = withContext(dispatcher) { exchange(address, request, timeout) }
 
-    private suspend fun exchange(address: String, request: CallRequest): CallResult =
-        suspendCancellableCoroutine { continuation ->
-            var outgoing: OutgoingRequest? = null
-            val kept = bodies.open()
-            val handler = BufferingResponseHandler(maxBodyBytes, kept) { result, reusable ->
-                outgoing?.let {
-                    if (result is CallResult.Response) it.release(reusable) else it.cancel()
-                }
-                if (continuation.isActive) continuation.resume(result)
-            }
-            outgoing = connections.send(address, encode(address, request), handler)
-            val pending = outgoing
-            continuation.invokeOnCancellation {
-                loop.execute {
-                    pending.cancel()
-                    handler.discard()
-                }
-            }
+    private suspend fun exchange(
+        address: String,
+        request: CallRequest,
+        timeout: Duration,
+    ): CallResult = suspendCancellableCoroutine { continuation ->
+        val label = "${request.method} ${request.path} at $address"
+        val call = PendingCall(loop, label, maxBodyBytes, bodies.open(), timeout) { result ->
+            if (continuation.isActive) continuation.resume(result)
         }
+        call.start { connections.send(address, encode(address, request), it) }
+        continuation.invokeOnCancellation { loop.execute(call::cancel) }
+    }
 
     private fun encode(address: String, request: CallRequest): DefaultFullHttpRequest {
         val body = Unpooled.wrappedBuffer(request.body ?: ByteArray(0))
@@ -108,13 +102,33 @@
 
 private val log = LogManager.getLogger(HttpCalls::class.java)
 
-private class BufferingResponseHandler(
+/** One call and what has arrived of its response. Confined to [loop]. */
+private class PendingCall(
+    private val loop: EventLoop,
+    private val label: String,
     private val maxBodyBytes: Int,
     private val kept: BufferAccount,
-    private val onResult: (CallResult, Boolean) -> Unit,
+    private val timeout: Duration,
+    private val onResult: (CallResult) -> Unit,
 ) : ResponseHandler {
+    private val startedAt = System.nanoTime()
+    private var outgoing: OutgoingRequest? = null
+    private var timer: Future<*>? = null
     private var body = ByteArrayOutputStream()
     private var status = 0
+    private var isDone = false
+
+    fun start(send: (ResponseHandler) -> OutgoingRequest) {
+        timer = loop.schedule(::giveUp, timeout.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+        val sent = send(this)
+        outgoing = sent
+        if (isDone) sent.cancel()
+    }
+
+    /** Frees what has arrived of a response that nobody waits for. */
+    fun cancel() {
+        if (!isDone) finish()?.cancel()
+    }
 
     override fun onResponseHead(response: HttpResponse) {
         status = response.status().code()
@@ -124,24 +138,38 @@
         val size = body.size() + bytes.size
         if (size <= maxBodyBytes && kept.tryKeep(size)) return body.write(bytes)
         log.warn("a response of {} bytes is too long, or too long beside others; closing", size)
-        finish(CallResult.NoResponse)
+        fail(CallResult.NoResponse)
     }
 
-    override fun onEnd(reusable: Boolean): Unit =
-        finish(CallResult.Response(status, body.toByteArray()), reusable)
+    override fun onEnd(reusable: Boolean) {
+        val response = CallResult.Response(status, body.toByteArray())
+        finish()?.release(reusable)
+        onResult(response)
+    }
 
-    override fun onNotConnected(): Unit = finish(CallResult.NotSent)
+    override fun onNotConnected(): Unit = fail(CallResult.NotSent)
 
-    override fun onBroken(malformed: Boolean): Unit = finish(CallResult.NoResponse)
+    override fun onBroken(malformed: Boolean): Unit = fail(CallResult.NoResponse)
 
-    /** Frees what has arrived of a response that nobody waits for. */
-    fun discard() {
-        body = ByteArrayOutputStream()
-        kept.release()
+    private fun giveUp() {
+        if (body.size() > 0) log.info("giving up {}: {} bytes in {}", label, body.size(), elapsed())
+        fail(CallResult.NoResponse)
     }
 
-    private fun finish(result: CallResult, reusable: Boolean = false) {
-        discard()
-        onResult(result, reusable)
+    private fun elapsed(): Duration =
+        (System.nanoTime() - startedAt).nanoseconds.inWholeMilliseconds.milliseconds
+
+    private fun fail(result: CallResult) {
+        finish()?.cancel()
+        onResult(result)
+    }
+
+    /** Ends the call; returns its request, whose connection is to be released or closed. */
+    private fun finish(): OutgoingRequest? {
+        isDone = true
+        timer?.cancel(false)
+        body = ByteArrayOutputStream()
+        kept.release()
+        return outgoing
     }
 }
