--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -64,16 +64,24 @@
     }
 
     /** Runs until cancelled. */
-    public suspend fun run() {
+    public suspend fun run(): Unit = coroutineScope {
+        launch { expireTargets() }
         while (true) {
             delay(POLL_INTERVAL)
-            viewUpdater.tick()
             if (viewUpdater.age(clock.now()) > timing.maxAge) {
                 peers.randomOrNull(random)?.let { pull(it) }
             }
         }
     }
 
+    /** Runs beside the pulls, which may take long. */
+    private suspend fun expireTargets() {
+        while (true) {
+            delay(POLL_INTERVAL)
+            viewUpdater.tick()
+        }
+    }
+
     /**
      * Waits at [relay] for an update. Returns true if the store itself keeps the relay up to date,
      * and thereby this host.
