Treat statuses that HTTP does not define as malformed responses

Cause: the reader of responses took every status below 200 for an interim response and every other one for a final one, for targets, store and peers alike. 101, which no request asks for, is the same.

Change: a status outside 100 to 599 (RFC 9110, section 15), and 101, ends the response as malformed at once. Repeatable requests are tried elsewhere, others get 502.

InvalidStatusTest: 3 of 3 failed before (504 after 0.9 s; a call to a store waited its 5 s), all hold. EarlyResponseTest covers early responses without length to an upload that are reset or ended; it holds before and after, so nothing changes there.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Connections.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import org.apache.logging.log4j.LogManager
@@ -251,6 +252,14 @@
             return
         }
         if (message.decoderResult().isFailure) return reject(context, activeHandler)
+        if (message is HttpResponse && !message.hasValidStatus()) {
+            log.info(
+                "{} sent status {}",
+                context.channel().remoteAddress(),
+                message.status().code(),
+            )
+            return reject(context, activeHandler)
+        }
         if (message is HttpResponse) onResponseHead(message, activeHandler)
         if (interimResponses > MAX_INTERIM_RESPONSES) return reject(context, activeHandler)
         if (message is HttpContent && !isInterim) onContent(message)
@@ -278,6 +287,10 @@
         if (!isDone) activeHandler.onBroken(malformed = true)
     }
 
+    /** No request asks to switch protocols, so what would follow that status is not HTTP. */
+    private fun HttpResponse.hasValidStatus(): Boolean =
+        status().code() in VALID_STATUSES && status() != HttpResponseStatus.SWITCHING_PROTOCOLS
+
     private fun onResponseHead(response: HttpResponse, activeHandler: ResponseHandler) {
         isInterim = response.status().code() < FIRST_FINAL_STATUS
         if (isInterim) {
@@ -320,6 +333,9 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** Others are invalid by RFC 9110, section 15, and count as a failure of the server. */
+        val VALID_STATUSES = 100..599
+
         /** Servers send one or two; more of them keep a request waiting without an answer. */
         const val MAX_INTERIM_RESPONSES = 16
         const val MILLIS_PER_SECOND = 1_000L
@@ -328,5 +344,6 @@
         /** Assumed if a target does not state its keep-alive time. */
         const val DEFAULT_KEEP_ALIVE_MILLIS = 4_000L
         val KEEP_ALIVE_SECONDS = Regex("timeout=(\\d{1,6})")
+        val log = LogManager.getLogger(Connections::class.java)
     }
 }
