Send configurations compressed between hosts

Routes differ little, so the text shrinks to less than a tenth; a relay compresses a version once. Hosts of an earlier version get it as before, and a peer's bytes that are no zlib stream, or a long one, are ignored with a log line.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -52,7 +52,7 @@
     /** The confirmed entries as stored, by name. */
     private val stored = HashMap<String, StoredObject>()
     private val watchStatuses = HashMap<String, WatchStatus>()
-    private var catalogText = ""
+    private var catalogText = CatalogText("")
     private val current = AtomicReference(HostView())
     private val changes = MutableStateFlow(0L)
 
@@ -146,6 +146,7 @@
         .setCatalogVersion(view.catalog?.version ?: 0)
         .setTargetsVersion(directory.version)
         .setRolloutsVersion(view.rolloutsVersion)
+        .setAcceptsDeflate(true)
         .build()
 
     /**
@@ -178,7 +179,7 @@
         reply.heardAtMillis = heardAt.toEpochMilliseconds()
         val version = view.catalog?.version ?: 0
         reply.catalogVersion = version
-        if (version > request.catalogVersion) reply.catalog = catalogText
+        if (version > request.catalogVersion) reply.put(catalogText, request.acceptsDeflate)
         reply.targetsVersion = directory.version
         reply.processId = processId
         view.rollouts.values.forEach { reply.addRollouts(it.toNews(clock.now())) }
@@ -199,7 +200,8 @@
     public fun onReply(peer: String, request: NewsRequest, reply: NewsReply, sentAt: Instant) {
         val now = clock.now()
         source = "peer $peer"
-        if (reply.catalog.isNotEmpty()) applyCatalog(reply.catalog, reply.catalogVersion, "peer")
+        reply.catalogText { listener.onCatalogUnreadable(reply.catalogVersion, "$source: $it") }
+            ?.let { applyCatalog(it, reply.catalogVersion, "peer") }
         val isNewer = reply.targetsVersion > directory.version
         // Changes are incomplete if this host has learned more from elsewhere meanwhile.
         val isOutrun = reply.changesOnly && request.targetsVersion != directory.version
@@ -334,7 +336,7 @@
             is Either.Right -> {
                 val knownVersion = view.catalog?.version ?: -1
                 if (read.value.version <= knownVersion) return
-                catalogText = text
+                catalogText = CatalogText(text)
                 current.set(view.copy(catalog = read.value))
                 listener.onCatalogChanged(read.value, source)
             }
