--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -123,10 +123,9 @@
     private var isDone = false
 
     fun start(send: (ResponseHandler) -> OutgoingRequest) {
-        schedule()
         val sent = send(this)
         outgoing = sent
-        if (isDone) sent.cancel()
+        if (isDone) sent.cancel() else schedule()
     }
 
     /** Frees what has arrived of a response that nobody waits for. */
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/BrokenConnectionTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/BrokenConnectionTest.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.junit.jupiter.api.Timeout
 import java.net.InetAddress
@@ -36,28 +35,10 @@
                         Unpooled.EMPTY_BUFFER,
                     )
                 val address = "127.0.0.1:${server.localPort}"
-                connections.send(address, request, Handler(outcome))
+                connections.send(address, request, OutcomeHandler(outcome))
             }
             outcome.get(5, TimeUnit.SECONDS)
         }
         transport.close()
     }
-
-    private class Handler(private val outcome: CompletableFuture<String>) : ResponseHandler {
-        override fun onResponseHead(response: HttpResponse) = Unit
-
-        override fun onBody(bytes: ByteArray) = Unit
-
-        override fun onEnd(reusable: Boolean) {
-            outcome.complete("end")
-        }
-
-        override fun onNotConnected() {
-            outcome.complete("not connected")
-        }
-
-        override fun onBroken(malformed: Boolean) {
-            outcome.complete("broken")
-        }
-    }
 }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/EarlyResponseTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/http/EarlyResponseTest.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Timeout
@@ -88,7 +87,7 @@
             )
             request.headers()["Content-Length"] = uploadBytes
             val address = "127.0.0.1:${server.localPort}"
-            connections.send(address, request, Handler(outcome))
+            connections.send(address, request, OutcomeHandler(outcome))
         }
         return outcome.get(10, TimeUnit.SECONDS).also {
             answering.join()
@@ -101,24 +100,6 @@
         while (!head.endsWith("\r\n\r\n")) head.append(socket.getInputStream().read().toChar())
     }
 
-    private class Handler(private val outcome: CompletableFuture<String>) : ResponseHandler {
-        override fun onResponseHead(response: HttpResponse) = Unit
-
-        override fun onBody(bytes: ByteArray) = Unit
-
-        override fun onEnd(reusable: Boolean) {
-            outcome.complete("end")
-        }
-
-        override fun onNotConnected() {
-            outcome.complete("not connected")
-        }
-
-        override fun onBroken(malformed: Boolean) {
-            outcome.complete(if (malformed) "malformed" else "broken")
-        }
-    }
-
     private companion object {
         const val PART = "HTTP/1.1 200 OK\r\n\r\npart"
 
