Run the test of lost writes in HttpObjectStoreTest

The test returned a value, and JUnit passes over such methods in silence: of its three tests, the class reported two. It runs now, with unchanged assertions, and holds on the code as it was. No other test of the project has such a last expression.

--- a/burdock-store/src/test/kotlin/burdockspread/store/http/HttpObjectStoreTest.kt
+++ b/burdock-store/src/test/kotlin/burdockspread/store/http/HttpObjectStoreTest.kt
@@ -62,7 +62,7 @@
     }
 
     @Test
-    fun `distinguishes a rejected write from one whose response was lost`() = runBlocking {
+    fun `distinguishes a rejected write from one whose response was lost`() = runBlocking<Unit> {
         fake.faults = StoreFaults { StoreFault.REFUSED }
         assertIs<WriteResult.Refused>(store.put(key, "{}", WriteCondition.Absent, "w1"))
         fake.faults = StoreFaults { StoreFault.ANSWER_LOST }
