Bound the time without progress of a store call in the other programs, too

Over a link of 7 Mbit/s an object or list of 850 KB never arrived within 0.6 s, however often it was read, and a write whose response returns such an object was reported as unknown although it was carried out.

TransferDeadline moves to burdock-core, unchanged but for visibility, and bounds these calls as it bounds those of the hosts. Silent, stalling and trickling servers are given up as fast as before.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/TransferDeadline.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/net/TransferDeadline.kt
@@ -1,5 +1,5 @@
 /** When a call whose response makes no progress is given up. */
-package burdockspread.forward.http
+package burdockspread.net
 
 import kotlin.time.Duration
 
@@ -12,23 +12,25 @@
  * each progress it has [stallTimeout] for the next one. Bytes that trickle in are no progress until
  * there are [PROGRESS_BYTES] of them, so a short response is bounded by the timeout as a whole.
  *
- * Times are since the start of the call.
+ * Times are since the start of the call. One thread at a time reports progress, any may read
+ * [dueAt].
  */
-internal class TransferDeadline(timeout: Duration, private val stallTimeout: Duration) {
+public class TransferDeadline(timeout: Duration, private val stallTimeout: Duration) {
     /** When the call is to be given up. */
-    var dueAt: Duration = timeout
+    @Volatile
+    public var dueAt: Duration = timeout
         private set
     private var progressMark = 0
 
     /** Handles that [size] bytes of the body have arrived in total. */
-    fun onReceived(size: Int, elapsed: Duration) {
+    public fun onReceived(size: Int, elapsed: Duration) {
         if (size - progressMark < PROGRESS_BYTES) return
         progressMark = size
         dueAt = maxOf(dueAt, elapsed + stallTimeout)
     }
 
-    companion object {
+    public companion object {
         /** A few per cent of what the slowest link carries within the shortest timeout. */
-        const val PROGRESS_BYTES = 16_384
+        public const val PROGRESS_BYTES: Int = 16_384
     }
 }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/http/TransferDeadlineTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/net/TransferDeadlineTest.kt
@@ -1,6 +1,6 @@
-package burdockspread.forward.http
+package burdockspread.net
 
-import burdockspread.forward.http.TransferDeadline.Companion.PROGRESS_BYTES
+import burdockspread.net.TransferDeadline.Companion.PROGRESS_BYTES
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/http/Calls.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.buffer.BufferAccount
 import burdockspread.buffer.BufferBudget
+import burdockspread.net.TransferDeadline
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -3,6 +3,7 @@
 
 import burdockspread.json.MAX_NESTING
 import burdockspread.json.withoutDeepValues
+import burdockspread.net.TransferDeadline
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -16,32 +17,35 @@
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.HttpTimeoutConfig
-import io.ktor.client.plugins.timeout
 import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.delete
-import io.ktor.client.request.get
-import io.ktor.client.request.post
 import io.ktor.client.request.prepareGet
-import io.ktor.client.request.put
+import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
-import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
+import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.readUTF8Line
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import kotlinx.io.Buffer
+import kotlinx.io.readString
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import java.io.Closeable
+import java.io.IOException
 import java.net.ConnectException
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 /**
  * Object store on the platform's object API: JSON objects with a resource version, optimistic
@@ -49,7 +53,8 @@
  *
  * @param address IP:port of the API.
  * @param namespace namespace of the system's objects.
- * @param callTimeout time after which a call without a response fails; watches have no timeout.
+ * @param callTimeout time after which a call fails whose response is neither complete nor makes
+ *   progress, see [TransferDeadline]; watches have no timeout.
  */
 public class HttpObjectStore(
     address: String,
@@ -60,28 +65,32 @@
     private val root = "http://$address/apis/$API_VERSION/namespaces/$namespace"
     private val client =
         HttpClient(CIO) {
-            install(HttpTimeout) { connectTimeoutMillis = callTimeout.inWholeMilliseconds }
+            install(HttpTimeout) {
+                connectTimeoutMillis = callTimeout.inWholeMilliseconds
+                requestTimeoutMillis = HttpTimeoutConfig.INFINITE_TIMEOUT_MS
+            }
             expectSuccess = false
         }
 
     override suspend fun get(key: ObjectKey): ReadResult =
         readCall({ ReadResult.Unavailable(it) }) {
-            val response = client.get(path(key)) { applyCallTimeout() }
+            val (status, text) = fetch(HttpMethod.Get, path(key))
             when {
-                response.status.isSuccess() -> ReadResult.Found(toStoredObject(key.kind, response))
-                response.status == HttpStatusCode.NotFound -> ReadResult.Missing
-                else -> ReadResult.Unavailable("status ${response.status.value}")
+                status.isSuccess() ->
+                    ReadResult.Found(toStoredObject(key.kind, decode<ApiObject>(text, IN_OBJECT)))
+                status == HttpStatusCode.NotFound -> ReadResult.Missing
+                else -> ReadResult.Unavailable("status ${status.value}")
             }
         }
 
     override suspend fun list(kind: String): ListResult = readCall({ ListResult.Unavailable(it) }) {
-        val response = client.get("$root/$kind") { applyCallTimeout() }
-        if (response.status.isSuccess()) {
-            val list = decode<ApiList>(response.bodyAsText(), IN_ITEM)
+        val (status, text) = fetch(HttpMethod.Get, "$root/$kind")
+        if (status.isSuccess()) {
+            val list = decode<ApiList>(text, IN_ITEM)
             val objects = list.items.map { toStoredObject(kind, it) }.toImmutableList()
             ListResult.Listed(objects, version(list.metadata))
         } else {
-            ListResult.Unavailable("status ${response.status.value}")
+            ListResult.Unavailable("status ${status.value}")
         }
     }
 
@@ -93,16 +102,15 @@
     ): WriteResult = writeCall {
         when (condition) {
             is WriteCondition.Absent ->
-                client.post("$root/${key.kind}") { body(key, value, null, writeId) }
+                fetch(HttpMethod.Post, "$root/${key.kind}") { body(key, value, null, writeId) }
             is WriteCondition.AtVersion ->
-                client.put(path(key)) { body(key, value, condition.version, writeId) }
+                fetch(HttpMethod.Put, path(key)) { body(key, value, condition.version, writeId) }
         }
     }
 
     override suspend fun delete(key: ObjectKey, condition: WriteCondition.AtVersion): WriteResult =
         writeCall {
-            client.delete(path(key)) {
-                applyCallTimeout()
+            fetch(HttpMethod.Delete, path(key)) {
                 contentType(ContentType.Application.Json)
                 val options = ApiDeleteOptions(ApiPreconditions(condition.version.toString()))
                 setBody(json.encodeToString(options))
@@ -129,10 +137,7 @@
         kind: String,
         version: Long,
     ): String {
-        val statement =
-            client.prepareGet("$root/$kind?watch=true&resourceVersion=$version") {
-                timeout { requestTimeoutMillis = HttpTimeoutConfig.INFINITE_TIMEOUT_MS }
-            }
+        val statement = client.prepareGet("$root/$kind?watch=true&resourceVersion=$version")
         return statement.execute { response ->
             if (!response.status.isSuccess()) return@execute "status ${response.status.value}"
             val lines = response.bodyAsChannel()
@@ -154,8 +159,35 @@
         else -> null
     }
 
-    private fun HttpRequestBuilder.applyCallTimeout() {
-        timeout { requestTimeoutMillis = callTimeout.inWholeMilliseconds }
+    /** Sends a request and reads its response; throws [IOException] if that makes no progress. */
+    private suspend fun fetch(
+        method: HttpMethod,
+        url: String,
+        configure: HttpRequestBuilder.() -> Unit = {},
+    ): TextResponse = coroutineScope {
+        val startedAt = TimeSource.Monotonic.markNow()
+        val deadline = TransferDeadline(callTimeout, callTimeout)
+        val timer = launch {
+            while (startedAt.elapsedNow() < deadline.dueAt) {
+                delay(deadline.dueAt - startedAt.elapsedNow())
+            }
+            throw IOException("no progress, given up after ${startedAt.elapsedNow()}")
+        }
+        val statement = client.prepareRequest(url) {
+            this.method = method
+            configure()
+        }
+        val response = statement.execute { response ->
+            val body = response.bodyAsChannel()
+            val text = Buffer()
+            while (!body.isClosedForRead) {
+                text.transferFrom(body.readRemaining(TransferDeadline.PROGRESS_BYTES.toLong()))
+                deadline.onReceived(text.size.toInt(), startedAt.elapsedNow())
+            }
+            TextResponse(response.status, text.readString())
+        }
+        timer.cancel()
+        response
     }
 
     private fun HttpRequestBuilder.body(
@@ -164,7 +196,6 @@
         version: Long?,
         writeId: String,
     ) {
-        applyCallTimeout()
         contentType(ContentType.Application.Json)
         val annotations = mapOf(WRITE_ID_ANNOTATION to writeId)
         val metadata = ApiMetadata(key.name, version?.toString(), annotations)
@@ -181,7 +212,7 @@
     }
 
     /** Distinguishes a write that was never sent from one whose response was lost. */
-    private suspend fun writeCall(call: suspend () -> HttpResponse): WriteResult = try {
+    private suspend fun writeCall(call: suspend () -> TextResponse): WriteResult = try {
         writeResult(call())
     } catch (e: CancellationException) {
         throw e
@@ -193,11 +224,11 @@
         WriteResult.Unknown(e.message.orEmpty())
     }
 
-    private suspend fun writeResult(response: HttpResponse): WriteResult {
+    private fun writeResult(response: TextResponse): WriteResult {
         val status = response.status
         return when {
             status.isSuccess() -> {
-                val written = decode<ApiObject>(response.bodyAsText(), IN_OBJECT)
+                val written = decode<ApiObject>(response.text, IN_OBJECT)
                 WriteResult.Written(version(written.metadata))
             }
             status == HttpStatusCode.Conflict || status == HttpStatusCode.NotFound ->
@@ -207,9 +238,6 @@
         }
     }
 
-    private suspend fun toStoredObject(kind: String, response: HttpResponse): StoredObject =
-        toStoredObject(kind, decode<ApiObject>(response.bodyAsText(), IN_OBJECT))
-
     private fun toStoredObject(kind: String, value: ApiObject): StoredObject {
         val writeId = value.metadata.annotations[WRITE_ID_ANNOTATION].orEmpty()
         val key = ObjectKey(kind, value.metadata.name)
@@ -233,6 +261,8 @@
 
     private fun path(key: ObjectKey): String = "$root/${key.kind}/${key.name}"
 
+    private data class TextResponse(val status: HttpStatusCode, val text: String)
+
     private companion object {
         val log = LogManager.getLogger(HttpObjectStore::class.java)
         val CLIENT_ERRORS = 400..499
