Leave the outcome of a service's call unknown if its status is invalid

Its HTTP client rejects statuses below 100 by itself.

A status outside 100 to 599 (RFC 9110, section 15) is a server error, and the call may have run, so the result is Unknown: claimed calls end with OUTCOME_UNKNOWN, idempotent ones are retried, as for a 5xx before.

BrokenServiceTest: the test of invalid statuses failed before, with Responded for 600; all four hold now.

--- a/burdock-targets/src/main/kotlin/burdockspread/target/service/HttpServiceClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/service/HttpServiceClient.kt
@@ -29,7 +29,10 @@
                 call.key?.let { header("Idempotency-Key", it) }
                 setBody(call.body)
             }
-        ServiceResult.Responded(response.status.value, response.bodyAsText())
+        when (val status = response.status.value) {
+            in VALID_STATUSES -> ServiceResult.Responded(status, response.bodyAsText())
+            else -> ServiceResult.Unknown("invalid status $status")
+        }
     } catch (e: CancellationException) {
         throw e
     } catch (e: ConnectException) {
@@ -43,4 +46,9 @@
     override fun close() {
         client.close()
     }
+
+    private companion object {
+        /** Others are invalid by RFC 9110, section 15, and count as a failure of the server. */
+        val VALID_STATUSES = 100..599
+    }
 }
