Read once more: one place for the status of a misdirected request

ForwardableResponse names 421 for both its users. NotRunPromiseTest reads the outcomes that the scripted policy records instead of having a listener of its own; its assertion is unchanged. No behaviour changes.

--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ForwardableResponse.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/ForwardableResponse.kt
@@ -9,13 +9,18 @@
 package burdockspread.forward.exchange
 
 /** Statuses that promise the caller that its request has not run and never will. */
-private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+private val NOT_RUN_STATUSES = setOf(408, MISDIRECTED, 429, 503)
+private const val MISDIRECTED = 421
 private const val FIRST_SERVER_ERROR = 500
 
 /** Whether the status promises something that the response itself does not state. */
 private val ResponseHead.isUnfoundedPromise: Boolean
     get() = status in NOT_RUN_STATUSES && !notExecuted
 
+/** Whether another target than the expected one received the request, and did not execute it. */
+internal val ResponseHead.isMisdirected: Boolean
+    get() = status == MISDIRECTED
+
 /** Whether the target failed the request or claims, after executing it, that it did not run. */
 internal val ResponseHead.isFailure: Boolean
     get() = status >= FIRST_SERVER_ERROR || isUnfoundedPromise
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/exchange/RealExchange.kt
@@ -295,9 +295,9 @@
 
     /** Ends an attempt whose target states that it did not execute the request. */
     private fun retryNotExecuted(attempt: Attempt, head: ResponseHead, now: Instant) {
-        val replaced = head.status == MISDIRECTED
-        history.onNotExecuted(counts = !replaced && !attempt.isSuccessor)
-        val outcome = if (replaced) AttemptOutcome.REPLACED else AttemptOutcome.SHED
+        history.onNotExecuted(counts = !head.isMisdirected && !attempt.isSuccessor)
+        val outcome =
+            if (head.isMisdirected) AttemptOutcome.REPLACED else AttemptOutcome.SHED
         failAttempt(attempt, outcome, "not executed, status ${head.status}", now)
     }
 
@@ -399,8 +399,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED = 421
-
         /** A longer timer delay is a pause of this host and says nothing about the target. */
         val MAX_TIMER_DELAY = 60.milliseconds
         val SHUTDOWN =
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/NotRunPromiseTest.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/NotRunPromiseTest.kt
@@ -4,7 +4,6 @@
 import burdockspread.error.ExecutionOutcome
 import burdockspread.forward.Fixture
 import burdockspread.forward.catalog.CallKind
-import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.exchange.ExchangeScenario.Companion.head
 import burdockspread.forward.exchange.ExchangeScenario.Companion.refusal
 import burdockspread.forward.load.AttemptOutcome
@@ -17,7 +16,6 @@
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 /** Statuses with which a caller is promised that its request has not run and never will. */
 class NotRunPromiseTest {
@@ -75,22 +73,9 @@
     fun `a promise without the target's statement counts as a failure of the target`() {
         for (kind in CallKind.entries) {
             for (status in promises) {
-                val outcomes = ArrayList<AttemptOutcome>()
-                val listener = object : ExchangeListener {
-                    override fun onAttemptEnded(
-                        call: Call,
-                        attemptNumber: Int,
-                        target: TargetEntry,
-                        outcome: AttemptOutcome,
-                        detail: String,
-                        progress: AttemptProgress,
-                        now: Instant,
-                    ) {
-                        outcomes += outcome
-                    }
-                }
-                val scenario = ExchangeScenario(kind, targets[0], listener = listener).begin()
+                val scenario = ExchangeScenario(kind, targets[0]).begin()
                 scenario.respond(1, head(status), ByteArray(9))
+                val outcomes = scenario.policy.outcomes
                 assertEquals(listOf(AttemptOutcome.FAILED), outcomes, "$kind, $status")
             }
         }
--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -37,8 +37,9 @@
     /** Number of requests that were withdrawn from the queue. */
     var cancelled = 0
 
-    /** Number of attempts whose end was reported. */
-    var endings = 0
+    /** How attempts ended, in order. */
+    val outcomes = ArrayList<AttemptOutcome>()
+    val endings: Int get() = outcomes.size
 
     override fun onTargets(service: Service, targets: ImmutableList<ListedTarget>, now: Instant) =
         Unit
@@ -83,7 +84,7 @@
     override fun onResponseHead(localId: Long, load: ReportedLoad?, now: Instant) = Unit
 
     override fun onEnded(localId: Long, outcome: AttemptOutcome, now: Instant) {
-        endings++
+        outcomes += outcome
     }
 
     override fun stats(now: Instant) = PoolStats(targets.size, 0, 0, 0)
