Let no timeout of the engine end a long response of the store

Ktor's engine has a timeout of 15 s for a whole request by default. The plugin's setting takes its place, by its documentation; targetClient disables the engine's own as well, and the store's client now does the same. SlowResponsesTest, HttpObjectStoreTest and DeepResponsesTest hold.

--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -69,6 +69,7 @@
                 connectTimeoutMillis = callTimeout.inWholeMilliseconds
                 requestTimeoutMillis = HttpTimeoutConfig.INFINITE_TIMEOUT_MS
             }
+            engine { requestTimeout = 0 }
             expectSuccess = false
         }
 
