--- a/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
+++ b/burdock-forward-core/src/test/kotlin/burdockspread/forward/exchange/ScriptedPolicy.kt
@@ -39,6 +39,8 @@
 
     /** How attempts ended, in order. */
     val outcomes = ArrayList<AttemptOutcome>()
+
+    /** Number of attempts whose end was reported. */
     val endings: Int get() = outcomes.size
 
     override fun onTargets(service: Service, targets: ImmutableList<ListedTarget>, now: Instant) =
