Encode names of other writers in calls to the store

What callers saw: an entry whose name holds a character such as &, +, #, % or a blank stood among the targets in a list of more than one page. After a restart of all hosts almost each request got 503, "no live target", and beside such names in the kind of the configuration "no configuration is known yet".

Cause: a list goes on after a page with the name of its last entry in the query, and PlatformStore put it there as it was. The store read another name and sent the same page again, or refused what was no URI; the list failed each time.

Now every name and kind in a URI is percent-encoded in one place. Followers of a relay are told of an entry that names no target as of a removal: protobuf changes some names, and the text under the changed name could have been taken for a target.

Explained: readiness responses name the list that fails and why, lists of hosts and verdicts that fail leave a line, lines about ignored entries are limited, and burdock_forward_entries_ignored_total counts them.

--- /dev/null
+++ b/burdock-core/src/main/kotlin/burdockspread/net/UriEncoding.kt
@@ -0,0 +1,22 @@
+/**
+ * Percent-encoding of text within URIs (RFC 3986).
+ *
+ * Names in the store may come from other writers, so each one that becomes a part of a URI is
+ * encoded here.
+ */
+package burdockspread.net
+
+import java.net.URLEncoder
+
+/**
+ * Encodes [text] as one segment of a path. A surrogate without its pair, which UTF-8 cannot
+ * express, becomes a question mark.
+ */
+public fun encodePathSegment(text: String): String =
+    // Clients and servers resolve dots as steps within the hierarchy.
+    if (text == "." || text == "..") text.replace(".", "%2E") else encodeQueryComponent(text)
+
+/** Encodes [text] as a value of a query, with the same restriction as [encodePathSegment]. */
+public fun encodeQueryComponent(text: String): String =
+    // The encoder is for HTML forms, in which a plus sign stands for a space.
+    URLEncoder.encode(text, Charsets.UTF_8).replace("+", "%20")
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -296,7 +296,9 @@
     private fun readiness(path: String): SimpleHttpResponse {
         val isReady =
             path == deployment.protocol.readyPath && viewUpdater.view.serving && !isDraining
-        return SimpleHttpResponse(if (isReady) OK else UNAVAILABLE)
+        if (isReady) return SimpleHttpResponse(OK)
+        val problems = viewUpdater.storeProblems.map { (kind, problem) -> "$kind: $problem\n" }
+        return SimpleHttpResponse(UNAVAILABLE, problems.joinToString("").encodeToByteArray())
     }
 
     private fun operator(request: SimpleHttpRequest): SimpleHttpResponse = when (request.path) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -29,7 +29,7 @@
 
 internal class ForwardMetrics(private val delegate: ForwardLog) :
     ExchangeListener,
-    HostViewListener {
+    HostViewListener by delegate {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val catalogVersion = AtomicLong()
 
@@ -158,17 +158,14 @@
         delegate.onCatalogChanged(catalog, source)
     }
 
-    override fun onCatalogUnreadable(version: Long, reason: String): Unit =
-        delegate.onCatalogUnreadable(version, reason)
-
     override fun onListed(kind: String, listed: ListResult.Listed) {
         val age = if (listed.version < listed.newestVersion) "mixed" else "single"
         count("burdock_forward_store_lists_total", "kind", kind, "age", age)
         delegate.onListed(kind, listed)
     }
 
-    override fun onTargetChanged(entry: TargetEntry, version: Long, source: String): Unit =
-        delegate.onTargetChanged(entry, version, source)
+    override fun onEntryIgnored(kind: String): Unit =
+        count("burdock_forward_entries_ignored_total", "kind", kind)
 
     override fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {
         count("burdock_forward_target_changes_total", "change", change.name.lowercase())
@@ -180,8 +177,6 @@
         delegate.onStoreLost(kind, reason)
     }
 
-    override fun onStoreReconnected(kind: String): Unit = delegate.onStoreReconnected(kind)
-
     /** Counts a request that was refused before it was resolved into a call. */
     fun onRequestRejected(id: String?, path: String, refusal: Refusal) {
         countRefusal(refusal)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -64,7 +64,10 @@
 
     private suspend fun list() {
         val listed = store.listCached(KIND)
-        if (listed !is ListResult.Listed) return
+        if (listed !is ListResult.Listed) {
+            log.warn("list of the hosts failed, keeping the last one: {}", listed)
+            return
+        }
         onListed(listed.objects.mapNotNull(::host))
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
@@ -63,6 +63,7 @@
         while (true) {
             val listed = store.listCached(KIND)
             if (listed is ListResult.Listed) return listed.objects.mapNotNull(::decode)
+            log.info("list of the archived verdicts failed, retrying: {}", listed)
             delay(RETRY_DELAY)
         }
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
@@ -20,6 +20,9 @@
     /** Called when [source] brought a change of a target, see [ViewUpdate.source]. */
     public fun onTargetChanged(entry: TargetEntry, version: Long, source: String) {}
 
+    /** Called for an entry of [kind] that names no usable target. */
+    public fun onEntryIgnored(kind: String) {}
+
     public fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {}
 
     public fun onStoreLost(kind: String, reason: String) {}
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -7,6 +7,7 @@
 import burdockspread.forward.directory.StoreContact
 import burdockspread.forward.directory.TargetChange
 import burdockspread.forward.directory.TargetDirectory
+import burdockspread.forward.directory.TargetEntry
 import burdockspread.forward.host.Deployment
 import burdockspread.forward.host.HostView
 import burdockspread.forward.relay.UpdateTiming
@@ -20,6 +21,9 @@
 import burdockspread.wire.forward.NewsReply
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetNews
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
@@ -67,6 +71,11 @@
     /** Where the update that is being applied comes from. */
     private var source = ""
 
+    /** Why the store does not keep this host up to date, by kind; may be read from any thread. */
+    @Volatile
+    public var storeProblems: ImmutableMap<String, String> = persistentMapOf()
+        private set
+
     /** The latest snapshot. */
     public val view: HostView get() = current.get()
 
@@ -111,12 +120,14 @@
         val watchStatus = watchStatuses.getOrPut(kind) { WatchStatus() }
         if (!watchStatus.isLost) listener.onStoreLost(kind, reason)
         watchStatus.isLost = true
+        storeProblems = (storeProblems + (kind to reason)).toImmutableMap()
         publish(clock.now())
     }
 
     /** Called when the host stops watching the store; the state of its watches no longer counts. */
     public fun onDetached() {
         watchStatuses.clear()
+        storeProblems = persistentMapOf()
         publish(clock.now())
     }
 
@@ -239,8 +250,7 @@
         val before = directory.version
         if (version < before) return
         val known = directory.confirmed()
-        objects.forEach(::storeEntry)
-        val entries = objects.mapNotNull(deployment::target)
+        val entries = objects.mapNotNull(::targetOf)
         directory.onListing(entries, version, storeContact.keepUntil, now)
         journal.onSkipped(before, version)
         objects.filter { it.version > before }
@@ -260,11 +270,10 @@
         now: Instant,
     ) {
         journal.onSkipped(directory.version, version)
-        present.forEach(::storeEntry)
         present.forEach { journal.record(TargetId(it.key.name), it.version) }
         removed.forEach { journal.record(TargetId(it.name), it.version) }
         val changes = present.mapNotNull { stored ->
-            deployment.target(stored)?.let { TargetChange(it.id, it, stored.version) }
+            targetOf(stored)?.let { TargetChange(it.id, it, stored.version) }
         }
         val removals = removed.map { TargetChange(TargetId(it.name), null, it.version) }
         directory.onChanges(changes + removals, version, storeContact.keepUntil, now)
@@ -284,7 +293,10 @@
     private fun onWatchActivity(kind: String, isCurrent: Boolean): Instant {
         val now = clock.now()
         val watchStatus = watchStatuses.getOrPut(kind) { WatchStatus() }
-        if (watchStatus.isLost) listener.onStoreReconnected(kind)
+        if (watchStatus.isLost) {
+            listener.onStoreReconnected(kind)
+            storeProblems = (storeProblems - kind).toImmutableMap()
+        }
         watchStatus.isLost = false
         if (!isCurrent) return now
         watchStatus.heardAt = now
@@ -308,9 +320,8 @@
 
     private fun onTarget(value: StoredObject, now: Instant) {
         if (value.version <= directory.version) return
-        storeEntry(value)
         journal.record(TargetId(value.key.name), value.version)
-        val entry = deployment.target(value)
+        val entry = targetOf(value)
         if (entry == null) {
             // An entry that another writer has made unreadable names no usable target.
             directory.onRemoved(TargetId(value.key.name), value.version, now, now)
@@ -321,9 +332,18 @@
         }
     }
 
-    private fun storeEntry(value: StoredObject) {
+    /**
+     * Decodes [value] and keeps it for peers; returns null if it names no target, which peers are
+     * told like a removal.
+     */
+    private fun targetOf(value: StoredObject): TargetEntry? {
+        val entry = deployment.target(value)
         val before = stored[value.key.name]
-        if (before == null || before.version <= value.version) stored[value.key.name] = value
+        if (before == null || before.version <= value.version) {
+            if (entry == null) stored.remove(value.key.name) else stored[value.key.name] = value
+        }
+        if (entry == null) listener.onEntryIgnored(value.key.kind)
+        return entry
     }
 
     private fun onCatalog(value: StoredObject) {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -94,6 +94,22 @@
         assertEquals(0, updater.pullFrom(relay).targetsCount)
     }
 
+    // Guards against a name that a message changed into one that a follower sent requests to.
+    @Test
+    fun `followers are told of an entry that names no target as of a removal`() {
+        val relay = hostThatKnows("a")
+        updater.pullFrom(relay)
+        relay.onEvent("targets", WatchEvent.Put(target("b", 8).copy(value = "unreadable")))
+        assertEquals(
+            listOf("b" to ""),
+            updater.pullFrom(relay).targetsList.map {
+                it.name to
+                    it.entry
+            },
+        )
+        assertEquals(listOf("a"), usableTargets())
+    }
+
     @Test
     fun `a stale relay does not restore a removed target`() {
         val relay = hostThatKnows("a")
--- a/burdock-settings/src/main/kotlin/burdockspread/settings/LogConfiguration.kt
+++ b/burdock-settings/src/main/kotlin/burdockspread/settings/LogConfiguration.kt
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.core.config.ConfigurationFactory
 import org.apache.logging.log4j.core.config.ConfigurationSource
 import org.apache.logging.log4j.core.config.LoggerConfig
+import org.apache.logging.log4j.core.filter.BurstFilter
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout
 import java.net.URI
 
@@ -57,6 +58,8 @@
         rootLogger.level = level
         rootLogger.addAppender(console, null, null)
         logger("forward", level).apply { isAdditive = false }.addAppender(queued, null, null)
+        // Other writers can fill the store with entries, each of which costs a line.
+        logger("platform", level).addFilter(burstFilter())
         listOf("io.netty", "io.grpc", "io.ktor").forEach { logger(it, Level.WARN) }
         logger("io.netty.util.internal.MacAddressUtil", Level.ERROR)
     }
@@ -80,11 +83,19 @@
         return queued
     }
 
+    private fun burstFilter(): BurstFilter = BurstFilter.newBuilder()
+        .setLevel(Level.INFO)
+        .setRate(LINES_PER_SECOND)
+        .setMaxBurst(BURST_LINES)
+        .build()
+
     private fun logger(name: String, level: Level): LoggerConfig =
         LoggerConfig(name, level, true).also { addLogger(name, it) }
 
     private companion object {
         const val QUEUED_LINES = 4_096
+        const val LINES_PER_SECOND = 10f
+        const val BURST_LINES = 100L
         const val SHUTDOWN_TIMEOUT_MILLIS = 500L
     }
 }
