--- a/burdock-store/src/main/kotlin/burdockspread/store/http/ApiObject.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/ApiObject.kt
@@ -27,11 +27,13 @@
     val annotations: Map<String, String> = emptyMap(),
 )
 
+/** A list; its items are decoded one by one, since any program may have written them. */
 @Serializable
-internal data class ApiList(val metadata: ApiMetadata, val items: List<ApiObject>)
+internal data class ApiList(val metadata: ApiMetadata, val items: List<JsonElement>)
 
+/** A line of a watch; its object, also of any program, is decoded apart. */
 @Serializable
-internal data class ApiWatchEvent(val type: String, @SerialName("object") val value: ApiObject)
+internal data class ApiWatchEvent(val type: String, @SerialName("object") val value: JsonElement)
 
 @Serializable
 internal data class ApiDeleteOptions(val preconditions: ApiPreconditions)
--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -4,6 +4,7 @@
 import burdockspread.json.MAX_NESTING
 import burdockspread.json.withoutDeepValues
 import burdockspread.net.TransferDeadline
+import burdockspread.net.encodePathSegment
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -39,7 +40,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
 import kotlinx.io.readString
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.decodeFromJsonElement
 import org.apache.logging.log4j.LogManager
 import java.io.Closeable
 import java.io.IOException
@@ -85,11 +89,12 @@
         }
 
     override suspend fun list(kind: String): ListResult = readCall({ ListResult.Unavailable(it) }) {
-        val (status, text) = fetch(HttpMethod.Get, "$root/$kind")
+        val (status, text) = fetch(HttpMethod.Get, path(kind))
         if (status.isSuccess()) {
             val list = decode<ApiList>(text, IN_ITEM)
-            val objects = list.items.map { toStoredObject(kind, it) }.toImmutableList()
-            ListResult.Listed(objects, version(list.metadata))
+            val objects = list.items.mapNotNull { readable(kind, it) }
+                .map { toStoredObject(kind, it) }
+            ListResult.Listed(objects.toImmutableList(), version(list.metadata))
         } else {
             ListResult.Unavailable("status ${status.value}")
         }
@@ -103,7 +108,7 @@
     ): WriteResult = writeCall {
         when (condition) {
             is WriteCondition.Absent ->
-                fetch(HttpMethod.Post, "$root/${key.kind}") { body(key, value, null, writeId) }
+                fetch(HttpMethod.Post, path(key.kind)) { body(key, value, null, writeId) }
             is WriteCondition.AtVersion ->
                 fetch(HttpMethod.Put, path(key)) { body(key, value, condition.version, writeId) }
         }
@@ -138,28 +143,41 @@
         kind: String,
         version: Long,
     ): String {
-        val statement = client.prepareGet("$root/$kind?watch=true&resourceVersion=$version")
+        val statement = client.prepareGet("${path(kind)}?watch=true&resourceVersion=$version")
         return statement.execute { response ->
             if (!response.status.isSuccess()) return@execute "status ${response.status.value}"
             val lines = response.bodyAsChannel()
             while (true) {
                 val line = lines.readUTF8Line() ?: break
                 val event = decode<ApiWatchEvent>(line, IN_EVENT)
-                emit(watchEvent(kind, event) ?: return@execute "resource version expired")
+                if (event.type !in CHANGES) return@execute "resource version expired"
+                readable(kind, event.value)?.let { emit(watchEvent(kind, event.type, it)) }
             }
             "stream ended"
         }
     }
 
-    private fun watchEvent(kind: String, event: ApiWatchEvent): WatchEvent? = when (event.type) {
-        "ADDED", "MODIFIED" -> WatchEvent.Put(toStoredObject(kind, event.value))
-        "DELETED" -> {
-            val key = ObjectKey(kind, event.value.metadata.name)
-            WatchEvent.Deleted(key, version(event.value.metadata))
+    private fun watchEvent(kind: String, type: String, value: ApiObject): WatchEvent =
+        if (type == DELETED) {
+            val key = ObjectKey(kind, value.metadata.name)
+            WatchEvent.Deleted(key, version(value.metadata))
+        } else {
+            WatchEvent.Put(toStoredObject(kind, value))
         }
-        else -> null
+
+    /** Decodes an object, or returns null for a malformed one, so that the others still count. */
+    private fun readable(kind: String, value: JsonElement): ApiObject? = try {
+        json.decodeFromJsonElement<ApiObject>(value)
+    } catch (e: SerializationException) {
+        log.info("ignoring a malformed object of kind {}: {}", kind, reason(e))
+        null
+    } catch (e: IllegalArgumentException) {
+        log.info("ignoring a malformed object of kind {}: {}", kind, reason(e))
+        null
     }
 
+    private fun reason(cause: Exception) = cause.message.orEmpty().take(MAX_REASON_CHARS)
+
     /** Sends a request and reads its response; throws [IOException] if that makes no progress. */
     private suspend fun fetch(
         method: HttpMethod,
@@ -260,13 +278,20 @@
     private fun version(metadata: ApiMetadata): Long =
         metadata.resourceVersion?.toLongOrNull() ?: 0L
 
-    private fun path(key: ObjectKey): String = "$root/${key.kind}/${key.name}"
+    private fun path(kind: String): String = "$root/${encodePathSegment(kind)}"
+
+    private fun path(key: ObjectKey): String = "${path(key.kind)}/${encodePathSegment(key.name)}"
 
     private data class TextResponse(val status: HttpStatusCode, val text: String)
 
     private companion object {
         val log = LogManager.getLogger(HttpObjectStore::class.java)
         val CLIENT_ERRORS = 400..499
+        const val DELETED = "DELETED"
+        val CHANGES = setOf("ADDED", "MODIFIED", DELETED)
+
+        /** Characters of a reason in the log. */
+        const val MAX_REASON_CHARS = 300
 
         /** Arrays and objects around the fields of a single object, an item and an event. */
         const val IN_OBJECT = 1
