Bring a new configuration to each host over one way, as a difference

What callers saw: after the configuration had grown twice, hosts behind 7 Mbit/s ran requests by a version that had been replaced 4 to 6 s before.

Now a relay that has a version from the store tells the other relays, which pull it at once; a peer sends the difference from the version that the asking host has, with the digest of the result; and a watch that a peer has overtaken goes on from the peer's version instead of receiving it too. A log line says how each version came.

--- a/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
@@ -2,8 +2,15 @@
 package burdockspread.store
 
 import burdockspread.time.TimeSource
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.selects.select
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,6 +25,10 @@
  * A watch that ends at once counts as a failure like an unanswered list, so that a store that
  * answers reads but rejects watches is called with increasing delays.
  *
+ * Where another source is faster than the watch, [known] tells up to which version the listener
+ * knows the kind by now. What the watch would still bring up to there is given up, since a large
+ * object may take seconds on a slow link, and the watch goes on from that version.
+ *
  * Every response of a watch counts as a store call, so after a change the watcher waits for
  * [batchingDelay] to batch further changes.
  */
@@ -29,7 +40,11 @@
     private val backoff: Backoff = Backoff(),
     private val batchingDelay: Duration = BATCHING_DELAY,
     private val startsCached: Boolean = true,
+    private val known: StateFlow<Long> = MutableStateFlow(0),
 ) {
+    /** Version up to which the watch has brought the changes. */
+    private var version = 0L
+
     /** Runs until cancelled. */
     public suspend fun run() {
         var failures = 0
@@ -47,29 +62,78 @@
     /** Returns for how long the watch delivered events. */
     private suspend fun watchFrom(listed: ListResult.Listed): Duration {
         listener.onListed(kind, listed)
+        version = listed.version
         val startedAt = clock.now()
         var lastEventAt = startedAt
+        val onActivity = { lastEventAt = clock.now() }
+        var reason = untilOvertaken { collect(store.watch(kind, version), onActivity) }
+        while (reason == null) {
+            version = known.value
+            listener.onOvertaken(kind, version)
+            reason = untilOvertaken { resume(onActivity) }
+        }
+        listener.onWatchEnded(kind, reason)
+        return lastEventAt - startedAt
+    }
+
+    /**
+     * Watches from [version]; tries again if nothing was heard, since what is left on the link of
+     * the watch that was given up delays new connections.
+     */
+    private suspend fun resume(onActivity: () -> Unit): String {
+        var attempts = 0
+        while (true) {
+            var isHeard = false
+            val reason = collect(store.watchAtOnce(kind, version)) {
+                isHeard = true
+                onActivity()
+            }
+            if (isHeard || ++attempts == RESUME_ATTEMPTS) return reason
+            delay(backoff.delayAfter(attempts))
+        }
+    }
+
+    /** Passes on the events of [watch]; returns why it ended. */
+    private suspend fun collect(watch: Flow<WatchEvent>, onActivity: () -> Unit): String {
         var reason = ""
         var hasChanges = false
-        store.watch(kind, listed.version)
+        watch
             .takeWhile { event ->
                 if (event is WatchEvent.Ended) reason = event.reason
                 event !is WatchEvent.Ended
             }
             .collect { event ->
-                lastEventAt = clock.now()
+                onActivity()
+                // Before the listener, which may tell of the same version.
+                if (event is WatchEvent.Put) version = maxOf(version, event.value.version)
+                if (event is WatchEvent.Progress) version = maxOf(version, event.version)
                 listener.onEvent(kind, event)
                 if (event is WatchEvent.Progress && hasChanges) delay(batchingDelay)
                 hasChanges = event !is WatchEvent.Progress
             }
-        listener.onWatchEnded(kind, reason)
-        return lastEventAt - startedAt
+        return reason
+    }
+
+    /** Returns the result of [watch], or null if [known] is ahead of it before it ends. */
+    private suspend fun untilOvertaken(watch: suspend () -> String): String? = coroutineScope {
+        val ended = async { watch() }
+        val overtaken = async { known.first { it > version } }
+        select {
+            ended.onAwait { it }
+            overtaken.onAwait { null }
+        }.also {
+            ended.cancel()
+            overtaken.cancel()
+        }
     }
 
     private companion object {
         /** A watch that delivered events for this long does not count as a failure. */
         val MIN_HEALTHY_WATCH = 2.seconds
 
+        /** With their timeouts they take about as long as a large object on a slow link. */
+        const val RESUME_ATTEMPTS = 3
+
         /** A fifth of the two seconds in which an edit has to be in force. */
         val BATCHING_DELAY = 400.milliseconds
     }
@@ -83,6 +147,9 @@
     /** Called with a change, or with a notice that nothing has changed. */
     public fun onEvent(kind: String, event: WatchEvent)
 
+    /** Called when a watch of [kind] goes on from [version], which another source has brought. */
+    public fun onOvertaken(kind: String, version: Long) {}
+
     /** Called when a watch has ended, which says nothing about the store itself. */
     public fun onWatchEnded(kind: String, reason: String)
 
--- a/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ObjectStore.kt
@@ -45,6 +45,12 @@
     /** Emits the changes of one kind after [version], and completes after [WatchEvent.Ended]. */
     public fun watch(kind: String, version: Long): Flow<WatchEvent>
 
+    /**
+     * Like [watch], but the first [WatchEvent.Progress] comes at once, whether there are changes or
+     * not.
+     */
+    public fun watchAtOnce(kind: String, version: Long): Flow<WatchEvent> = watch(kind, version)
+
     public companion object {
         /** Maximum size of a value in bytes. */
         public const val MAX_VALUE_BYTES: Int = 1_000_000
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
@@ -4,7 +4,9 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -68,6 +70,42 @@
         assertTrue(store.answers > 0)
     }
 
+    // Guards against hosts that receive for seconds what a peer has brought them long before.
+    @Test
+    fun `a watch that another source has overtaken goes on from there at once`() = runTest {
+        val known = MutableStateFlow(0L)
+        val store = ScriptedStore(watchDuration = 10.seconds)
+        val listener = RecordingListener()
+        val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
+        val watcher = launch { KindWatcher("things", store, listener, clock, known = known).run() }
+        delay(1.seconds)
+        known.value = 9
+        delay(1.seconds)
+        assertEquals(emptyList(), listener.overtaken)
+        known.value = 12
+        delay(1.seconds)
+        assertEquals(listOf(12L), listener.overtaken)
+        assertEquals(listOf(9L, 12L), store.watchedFrom)
+        assertEquals(listOf(9L), listener.listed)
+        watcher.cancel()
+    }
+
+    // Guards against relays that followers left since the link was still full of the old response.
+    @Test
+    fun `a watch that goes on after it was overtaken is not lost at the first failure`() = runTest {
+        val known = MutableStateFlow(0L)
+        val store = ScriptedStore(watchDuration = 10.seconds, failedResumptions = 2)
+        val listener = RecordingListener()
+        val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
+        val watcher = launch { KindWatcher("things", store, listener, clock, known = known).run() }
+        delay(1.seconds)
+        known.value = 12
+        delay(5.seconds)
+        assertEquals(listOf(9L, 12L, 12L, 12L), store.watchedFrom)
+        assertEquals(0, listener.endedCount)
+        watcher.cancel()
+    }
+
     private fun TestScope.watcher(store: ObjectStore, listener: KindListener): KindWatcher {
         val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
         return KindWatcher("things", store, listener, clock)
@@ -75,7 +113,13 @@
 
     private class RecordingListener : KindListener {
         var unavailableCount = 0
+        var endedCount = 0
         val listed = ArrayList<Long>()
+        val overtaken = ArrayList<Long>()
+
+        override fun onOvertaken(kind: String, version: Long) {
+            overtaken += version
+        }
 
         override fun onListed(kind: String, listed: ListResult.Listed) {
             this.listed += listed.version
@@ -83,7 +127,9 @@
 
         override fun onEvent(kind: String, event: WatchEvent) = Unit
 
-        override fun onWatchEnded(kind: String, reason: String) = Unit
+        override fun onWatchEnded(kind: String, reason: String) {
+            endedCount++
+        }
 
         override fun onUnavailable(kind: String, reason: String) {
             unavailableCount++
@@ -96,9 +142,11 @@
         private val emitsChanges: Boolean = false,
         private val cachedVersion: Long = 9,
         private val oldestVersion: Long = 0,
+        private var failedResumptions: Int = 0,
     ) : ObjectStore {
         var calls = 0
         var answers = 0
+        val watchedFrom = ArrayList<Long>()
 
         override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
 
@@ -125,7 +173,15 @@
             condition: WriteCondition.AtVersion,
         ): WriteResult = WriteResult.Conflict
 
+        override fun watchAtOnce(kind: String, version: Long): Flow<WatchEvent> {
+            if (failedResumptions == 0) return watch(kind, version)
+            failedResumptions--
+            watchedFrom += version
+            return flowOf(WatchEvent.Ended("no answer"))
+        }
+
         override fun watch(kind: String, version: Long): Flow<WatchEvent> = flow {
+            watchedFrom += version
             calls++
             if (watchDuration > Duration.ZERO) {
                 delay(watchDuration)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/Following.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.filter
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import kotlin.random.Random
@@ -58,6 +59,7 @@
     suspend fun run(): Unit = coroutineScope {
         startWatching("no relay is known yet")
         launch { checkAge() }
+        launch { announceCatalogs() }
         while (true) {
             val relays = assignment.relays(clock.now()).mapNotNull { hosts[it] }
             if (relays.isEmpty()) {
@@ -71,6 +73,17 @@
         }
     }
 
+    /** Tells the other relays, whose links may be slower, of what the store has brought. */
+    private suspend fun announceCatalogs() {
+        viewUpdater.catalogFromStore.filter { it > 0 }.collect { version ->
+            val relays = hosts.values.groupBy { it.failureDomain }.values.flatMap { members ->
+                RelaySelector.ranked(members.map { it.id }).take(RelaySelector.RELAYS_PER_DOMAIN)
+            }
+            val receivers = (relays - self).mapNotNull { hosts[it]?.peerAddress }
+            scope.launch { peers.announce(version, receivers) }
+        }
+    }
+
     private suspend fun checkAge() {
         while (true) {
             delay(timing.ageCheckInterval)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -20,6 +20,7 @@
 import burdockspread.settings.MonotonicClock
 import burdockspread.settings.toKotlinDuration
 import burdockspread.store.KindWatcher
+import burdockspread.wire.forward.CatalogNotice
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetLoss
 import burdockspread.wire.settings.ForwardSettings
@@ -238,7 +239,14 @@
         val startsCached = !viewUpdater.view.serving
         kinds.forEach { kind ->
             launchSupervised("watch of $kind") {
-                KindWatcher(kind, store, viewUpdater, clock, startsCached = startsCached).run()
+                KindWatcher(
+                    kind,
+                    store,
+                    viewUpdater,
+                    clock,
+                    startsCached = startsCached,
+                    known = viewUpdater.knownVersion(kind),
+                ).run()
             }
         }
         if (rollouts.isEnabled) launchSupervised("watch of rollouts") { watchRollouts() }
@@ -363,6 +371,11 @@
             when (request.path) {
                 PeerNews.PATH -> handlePeerUpdate(NewsRequest.parseFrom(request.body), reply)
                 PeerNews.LOSS_PATH -> reply(handlePeerLoss(request.body))
+                PeerNews.CATALOG_PATH -> {
+                    val notice = CatalogNotice.parseFrom(request.body)
+                    scope.launch { peers.onNotice(notice) }
+                    reply(SimpleHttpResponse(OK))
+                }
                 else -> reply(SimpleHttpResponse(NOT_FOUND))
             }
         } catch (e: InvalidProtocolBufferException) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardLog.kt
@@ -14,6 +14,7 @@
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.TargetNotice
 import burdockspread.forward.log.LogRateLimiter
+import burdockspread.forward.news.CatalogTransfer
 import burdockspread.forward.news.HostViewListener
 import burdockspread.forward.news.ViewUpdate
 import burdockspread.id.TargetId
@@ -166,10 +167,12 @@
             .with("attempts", attempts.toString())
             .info(requestLimiter)
 
-    override fun onCatalogChanged(catalog: Catalog, source: String): Unit =
+    override fun onCatalogChanged(catalog: Catalog, transfer: CatalogTransfer): Unit =
         stateEvent("configuration")
             .with("version", catalog.version.toString())
-            .with("source", source)
+            .with("source", transfer.source)
+            .with("form", transfer.form)
+            .with("size", transfer.size.toString())
             .with("routes", catalog.routes.size.toString())
             .info(stateLimiter)
 
@@ -211,6 +214,11 @@
             .info(stateLimiter)
     }
 
+    override fun onWatchOvertaken(kind: String, version: Long): Unit = stateEvent("watch_overtaken")
+        .with("kind", kind)
+        .with("store_version", version.toString())
+        .info(stateLimiter)
+
     override fun onStoreLost(kind: String, reason: String): Unit =
         stateEvent("store_lost").with("kind", kind).with("detail", reason).warn()
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardMetrics.kt
@@ -12,6 +12,7 @@
 import burdockspread.forward.http.CallerConnectionEnd
 import burdockspread.forward.load.AttemptOutcome
 import burdockspread.forward.load.TargetNotice
+import burdockspread.forward.news.CatalogTransfer
 import burdockspread.forward.news.HostViewListener
 import burdockspread.forward.news.ViewUpdate
 import burdockspread.id.TargetId
@@ -152,10 +153,11 @@
         delegate.onCallerGone(call, attempts, now)
     }
 
-    override fun onCatalogChanged(catalog: Catalog, source: String) {
+    override fun onCatalogChanged(catalog: Catalog, transfer: CatalogTransfer) {
         catalogVersion.set(catalog.version)
-        count("burdock_forward_configurations_total", "source", source)
-        delegate.onCatalogChanged(catalog, source)
+        val name = "burdock_forward_configurations_total"
+        count(name, "source", transfer.source, "form", transfer.form)
+        delegate.onCatalogChanged(catalog, transfer)
     }
 
     override fun onListed(kind: String, listed: ListResult.Listed) {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewListener.kt
@@ -10,7 +10,7 @@
 
 /** Receives changes of the host's view, for logs and metrics. */
 public interface HostViewListener {
-    public fun onCatalogChanged(catalog: Catalog, source: String) {}
+    public fun onCatalogChanged(catalog: Catalog, transfer: CatalogTransfer) {}
 
     public fun onCatalogUnreadable(version: Long, reason: String) {}
 
@@ -25,6 +25,9 @@
 
     public fun onTargetState(id: TargetId, change: DirectoryChange, update: ViewUpdate) {}
 
+    /** Called when a watch of [kind] begins anew from [version], which a peer brought earlier. */
+    public fun onWatchOvertaken(kind: String, version: Long) {}
+
     public fun onStoreLost(kind: String, reason: String) {}
 
     public fun onStoreReconnected(kind: String) {}
@@ -35,6 +38,24 @@
     }
 }
 
+/**
+ * How a configuration came to this host.
+ *
+ * @property source [STORE] or [PEER].
+ * @property form `text`, `deflated` or `delta`.
+ * @property size length in that form, in bytes or, for a text, characters.
+ */
+public data class CatalogTransfer(
+    public val source: String,
+    public val form: String,
+    public val size: Int,
+) {
+    public companion object {
+        public const val STORE: String = "store"
+        public const val PEER: String = "peer"
+    }
+}
+
 /**
  * The update that changed a host's view.
  *
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -1,7 +1,6 @@
 /** Updates of the configuration and the targets that a host knows. */
 package burdockspread.forward.news
 
-import arrow.core.Either
 import burdockspread.forward.directory.ChangeJournal
 import burdockspread.forward.directory.DirectoryChange
 import burdockspread.forward.directory.StoreContact
@@ -26,6 +25,7 @@
 import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicReference
@@ -56,7 +56,7 @@
     /** The confirmed entries as stored, by name. */
     private val stored = HashMap<String, StoredObject>()
     private val watchStatuses = HashMap<String, WatchStatus>()
-    private var catalogText = CatalogText("")
+    private val catalogs = CatalogUpdates(deployment, listener)
     private val current = AtomicReference(HostView())
     private val changes = MutableStateFlow(0L)
 
@@ -76,6 +76,16 @@
     public var storeProblems: ImmutableMap<String, String> = persistentMapOf()
         private set
 
+    /**
+     * Returns the store version up to which this host knows what it uses of [kind], whoever brought
+     * it; 0 while that is unknown, and for all kinds but that of the configuration.
+     */
+    public fun knownVersion(kind: String): StateFlow<Long> =
+        if (kind == deployment.catalogKey.kind) catalogs.storeVersion else NEVER_KNOWN
+
+    /** Version of the last configuration that the store itself brought; 0 before the first one. */
+    public val catalogFromStore: StateFlow<Long> get() = catalogs.versionFromStore
+
     /** The latest snapshot. */
     public val view: HostView get() = current.get()
 
@@ -86,7 +96,7 @@
         if (kind == deployment.targetKind) {
             applyList(listed.objects, listed.version, now)
         } else {
-            listed.objects.firstOrNull { it.key == deployment.catalogKey }?.let(::onCatalog)
+            catalogs.onListed(listed)
         }
         publish(now)
     }
@@ -99,7 +109,7 @@
                 if (kind == deployment.targetKind) {
                     onTarget(event.value, now)
                 } else {
-                    onCatalog(event.value)
+                    catalogs.onStored(event.value)
                 }
             is WatchEvent.Deleted -> onDeleted(event, now)
             is WatchEvent.Progress ->
@@ -111,6 +121,12 @@
 
     override fun onWatchEnded(kind: String, reason: String): Unit = onLost(kind, reason)
 
+    override fun onOvertaken(kind: String, version: Long) {
+        listener.onWatchOvertaken(kind, version)
+        // The store has confirmed to the peer what the watch would have brought.
+        watchStatuses[kind]?.let { it.heardAt = maxOf(it.heardAt, peerHeardAt) }
+    }
+
     override fun onUnavailable(kind: String, reason: String) {
         if (kind == deployment.targetKind) storeContact.onFailed(clock.now())
         onLost(kind, reason)
@@ -158,6 +174,7 @@
         .setTargetsVersion(directory.version)
         .setRolloutsVersion(view.rolloutsVersion)
         .setAcceptsDeflate(true)
+        .setCatalogDigest(catalogs.digest)
         .build()
 
     /**
@@ -188,9 +205,7 @@
         val heardAt = heardAt()
         reply.heardAfterMillis = (heardAt - receivedAt).inWholeMilliseconds
         reply.heardAtMillis = heardAt.toEpochMilliseconds()
-        val version = view.catalog?.version ?: 0
-        reply.catalogVersion = version
-        if (version > request.catalogVersion) reply.put(catalogText, request.acceptsDeflate)
+        catalogs.addTo(reply, request)
         reply.targetsVersion = directory.version
         reply.processId = processId
         view.rollouts.values.forEach { reply.addRollouts(it.toNews(clock.now())) }
@@ -211,8 +226,7 @@
     public fun onReply(peer: String, request: NewsRequest, reply: NewsReply, sentAt: Instant) {
         val now = clock.now()
         source = "peer $peer"
-        reply.catalogText { listener.onCatalogUnreadable(reply.catalogVersion, "$source: $it") }
-            ?.let { applyCatalog(it, reply.catalogVersion, "peer") }
+        catalogs.onReply(peer, request, reply)
         val isNewer = reply.targetsVersion > directory.version
         // Changes are incomplete if this host has learned more from elsewhere meanwhile.
         val isOutrun = reply.changesOnly && request.targetsVersion != directory.version
@@ -346,30 +360,14 @@
         return entry
     }
 
-    private fun onCatalog(value: StoredObject) {
-        if (value.key == deployment.catalogKey) applyCatalog(value.value, value.version, "store")
-    }
-
-    private fun applyCatalog(text: String, storeVersion: Long, source: String) {
-        when (val read = deployment.catalog(text)) {
-            is Either.Left -> listener.onCatalogUnreadable(storeVersion, read.value)
-            is Either.Right -> {
-                val knownVersion = view.catalog?.version ?: -1
-                if (read.value.version <= knownVersion) return
-                catalogText = CatalogText(text)
-                current.set(view.copy(catalog = read.value))
-                listener.onCatalogChanged(read.value, source)
-            }
-        }
-    }
-
     private fun publish(now: Instant) {
         val before = view
         val isUnchanged = changeCount == published
         val targets = if (isUnchanged) before.directory else directory.view()
         val direct = isWatchCurrent(deployment.catalogKey.kind, now)
         val isConfirmed = direct || now - peerHeardAt <= timing.maxAge
-        current.set(before.copy(directory = targets, isConfirmed = isConfirmed))
+        val catalog = catalogs.current
+        current.set(before.copy(catalog, targets, isConfirmed))
         if (!isUnchanged) stored.keys.retainAll(directory.confirmed().map { it.value }.toSet())
         published = changeCount
         changes.value++
@@ -381,6 +379,8 @@
     }
 
     private companion object {
+        val NEVER_KNOWN = MutableStateFlow(0L)
+
         /** Maximum time for which a peer may wait, whatever it requests. */
         val MAX_PEER_WAIT = 5_000.milliseconds
     }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/PeerNews.kt
@@ -7,6 +7,7 @@
 import burdockspread.forward.relay.UpdateTiming
 import burdockspread.net.isIpv4Endpoint
 import burdockspread.time.TimeSource
+import burdockspread.wire.forward.CatalogNotice
 import burdockspread.wire.forward.NewsReply
 import burdockspread.wire.forward.NewsRequest
 import burdockspread.wire.forward.TargetLoss
@@ -43,6 +44,10 @@
     /** What each peer's last reply said of the peer, for the next request to echo. */
     private val lastHeard = HashMap<String, LastHeard>()
 
+    /** Catalog versions of peers that have announced theirs and were not asked yet. */
+    private val announced = LinkedHashMap<String, Long>()
+    private var isCatchingUp = false
+
     /** Returns the addresses of the known hosts, including this one. */
     public fun knownAddresses(): List<String> = peers.take(MAX_SHARED_PEERS) + ownAddress
 
@@ -128,6 +133,35 @@
         }
     }
 
+    /** Tells [receivers] that this host has [catalogVersion], so that they pull it at once. */
+    public suspend fun announce(catalogVersion: Long, receivers: Collection<String>): Unit =
+        coroutineScope {
+            val notice = CatalogNotice.newBuilder()
+                .setAddress(ownAddress)
+                .setCatalogVersion(catalogVersion)
+                .build()
+            val request = CallRequest("POST", CATALOG_PATH, notice.toByteArray(), PROTOBUF)
+            // A host that does not get it learns of the version by its next pull.
+            receivers.forEach { launch { calls.call(it, request, CALL_TIMEOUT) } }
+        }
+
+    /** Handles the notice of a peer; pulls from one peer at a time until none is ahead. */
+    public suspend fun onNotice(notice: CatalogNotice) {
+        if (!isIpv4Endpoint(notice.address)) return
+        announced[notice.address] = notice.catalogVersion
+        if (isCatchingUp) return
+        isCatchingUp = true
+        try {
+            while (announced.isNotEmpty()) {
+                val (peer, version) = announced.entries.first()
+                announced -= peer
+                if (version > (viewUpdater.view.catalog?.version ?: 0)) pull(peer)
+            }
+        } finally {
+            isCatchingUp = false
+        }
+    }
+
     private fun read(peer: String, result: CallResult): NewsReply? {
         if (result !is CallResult.Response || result.status != OK) {
             lastHeard -= peer
@@ -149,6 +183,9 @@
 
         /** Path of reports of a lost target. */
         public const val LOSS_PATH: String = "/peer/loss"
+
+        /** Path of notices of a new catalog. */
+        public const val CATALOG_PATH: String = "/peer/catalog"
         private const val PROTOBUF = "application/x-protobuf"
 
         /**
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
@@ -10,8 +10,10 @@
 import burdockspread.forward.relay.UpdateTiming
 import burdockspread.id.FailureDomainId
 import burdockspread.id.HostId
+import burdockspread.net.TransferDeadline
 import burdockspread.store.KindWatcher
 import burdockspread.time.TimeSource
+import burdockspread.wire.forward.CatalogNotice
 import burdockspread.wire.forward.NewsRequest
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
@@ -60,11 +62,49 @@
     }
 }
 
+/** A rate that all transfers through one machine share, piece by piece. */
+internal class SimulatedRate(private val now: () -> Long) {
+    /** Bytes that pass in a millisecond. */
+    var bytesPerMilli = Double.POSITIVE_INFINITY
+    private var freeAt = 0.0
+
+    /** Bytes that have passed. */
+    var passed = 0L
+        private set
+
+    /** Passes [bytes], or returns false if a piece of them takes longer than callers wait. */
+    suspend fun pass(bytes: Int): Boolean {
+        var left = bytes
+        while (left > 0) {
+            val piece = minOf(left, TransferDeadline.PROGRESS_BYTES)
+            freeAt = maxOf(freeAt, now().toDouble()) + piece / bytesPerMilli
+            val wait = freeAt - now()
+            delay(minOf(wait, STALL_MILLIS).toLong())
+            if (wait > STALL_MILLIS) return false
+            passed += piece
+            left -= piece
+        }
+        return true
+    }
+
+    private companion object {
+        /** As in `HttpCalls`. */
+        const val STALL_MILLIS = 600.0
+    }
+}
+
 /** Failure domains with [hostsPerDomain] hosts each, which list each other from the start. */
-internal class FleetSimulation(private val scope: TestScope, domains: Int, hostsPerDomain: Int) {
+internal class FleetSimulation(
+    private val scope: TestScope,
+    domains: Int,
+    hostsPerDomain: Int,
+    private val timing: UpdateTiming = UpdateTiming(),
+) {
     val store = SimulatedStore(::now)
     val hosts: List<SimulatedHost> = List(domains) { domain ->
-        List(hostsPerDomain) { SimulatedHost("host-$domain-$it", "domain-$domain") }
+        List(hostsPerDomain) {
+            SimulatedHost("host-$domain-$it", "domain-$domain", "10.0.$domain.$it:1")
+        }
     }.flatten()
     private val byAddress = hosts.associateBy { it.address }
 
@@ -81,14 +121,19 @@
     }
 
     /** A host with its links to the store and to its peers. */
-    inner class SimulatedHost(val name: String, val domain: String) {
-        val address = "$name:1"
+    inner class SimulatedHost(val name: String, val domain: String, val address: String) {
         val storeLink = SimulatedLink()
         val peerLink = SimulatedLink()
+
+        /** What the machine sends and receives, from the store and from peers. */
+        val rate = SimulatedRate { scope.currentTime }
         private var listed = emptyList<ListedHost>()
         private var process = Process()
         val updater: HostViewUpdater get() = process.updater
 
+        /** Whether the host watches the store itself instead of following a relay. */
+        val isWatching: Boolean get() = process.following.relay == null
+
         /** Targets that may receive requests now. */
         val usableTargets: Set<String>
             get() = updater.view.directory.services.values.flatten()
@@ -110,11 +155,13 @@
 
         suspend fun answer(request: NewsRequest) = process.peers.answer(request)
 
+        fun onNotice(notice: CatalogNotice) = process.onNotice(notice)
+
         private inner class Process {
             val job = SupervisorJob(scope.backgroundScope.coroutineContext.job)
             private val processScope = scope.backgroundScope + job
             private val clock = TimeSource { now() }
-            val updater = HostViewUpdater(TextDeployment, clock)
+            val updater = HostViewUpdater(TextDeployment, clock, timing)
             val peers = PeerNews(
                 name,
                 address,
@@ -123,15 +170,17 @@
                 peerCalls(),
                 clock,
                 Random(name.hashCode()),
+                timing,
             )
-            private val objects = SimulatedObjectStore(store, storeLink, UpdateTiming().watchWait)
-            private val following = Following(
+            private val objects = SimulatedObjectStore(store, storeLink, rate, timing.watchWait)
+            val following = Following(
                 HostId(name),
                 FailureDomainId(domain),
                 updater,
                 peers,
                 clock,
                 processScope,
+                timing,
                 watch = ::watch,
             )
 
@@ -141,6 +190,10 @@
                 processScope.launch { peers.run() }
             }
 
+            fun onNotice(notice: CatalogNotice) {
+                processScope.launch { peers.onNotice(notice) }
+            }
+
             private suspend fun watch(): Unit = coroutineScope {
                 val startsCached = !updater.view.serving
                 listOf(TextDeployment.catalogKey.kind, TextDeployment.targetKind).forEach { kind ->
@@ -151,6 +204,7 @@
                             updater,
                             clock,
                             startsCached = startsCached,
+                            known = updater.knownVersion(kind),
                         ).run()
                     }
                 }
@@ -158,15 +212,28 @@
         }
 
         private fun peerCalls() = Calls { address, request, timeout ->
-            withTimeoutOrNull(timeout) { peerLink.call { callPeer(address, request) } }
-                ?: CallResult.NoResponse
+            val result = withTimeoutOrNull(timeout) { peerLink.call { callPeer(address, request) } }
+            if (result is CallResult.Response) {
+                val size = result.body.size
+                val isReceived = byAddress.getValue(address).rate.pass(size) && rate.pass(size)
+                if (isReceived) result else CallResult.NoResponse
+            } else {
+                result ?: CallResult.NoResponse
+            }
         }
     }
 
     private suspend fun callPeer(address: String, request: CallRequest): CallResult {
         val peer = byAddress.getValue(address)
-        val reply = peer.peerLink.call { peer.answer(NewsRequest.parseFrom(request.body)) }
-        return reply?.let { CallResult.Response(OK, it.toByteArray()) } ?: CallResult.NotSent
+        val reply = peer.peerLink.call {
+            if (request.path == PeerNews.CATALOG_PATH) {
+                peer.onNotice(CatalogNotice.parseFrom(request.body))
+                ByteArray(0)
+            } else {
+                peer.answer(NewsRequest.parseFrom(request.body)).toByteArray()
+            }
+        }
+        return reply?.let { CallResult.Response(OK, it) } ?: CallResult.NotSent
     }
 
     private companion object {
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SimulatedStore.kt
@@ -117,18 +117,24 @@
 internal class SimulatedObjectStore(
     private val store: SimulatedStore,
     private val link: SimulatedLink,
+    private val rate: SimulatedRate,
     private val watchWait: Duration,
 ) : ObjectStore {
     override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
 
     override suspend fun list(kind: String): ListResult =
-        withTimeoutOrNull(CALL_TIMEOUT) { call { store.list(kind) } }
+        withTimeoutOrNull(CALL_TIMEOUT) { call { store.list(kind) } }?.let { received(it) }
             ?: ListResult.Unavailable("no answer")
 
     override suspend fun listCached(kind: String): ListResult =
-        withTimeoutOrNull(CALL_TIMEOUT) { call { store.listCached(kind) } }
+        withTimeoutOrNull(CALL_TIMEOUT) { call { store.listCached(kind) } }?.let { received(it) }
             ?: ListResult.Unavailable("no answer")
 
+    private suspend fun received(listed: ListResult): ListResult? {
+        val size = (listed as? ListResult.Listed)?.objects.orEmpty().sumOf { it.value.length }
+        return if (rate.pass(size)) listed else null
+    }
+
     override suspend fun put(
         key: ObjectKey,
         value: String,
@@ -139,13 +145,27 @@
     override suspend fun delete(key: ObjectKey, condition: WriteCondition.AtVersion): WriteResult =
         WriteResult.Conflict
 
-    override fun watch(kind: String, version: Long): Flow<WatchEvent> = flow {
+    override fun watch(kind: String, version: Long): Flow<WatchEvent> =
+        watch(kind, version, watchWait)
+
+    override fun watchAtOnce(kind: String, version: Long): Flow<WatchEvent> =
+        watch(kind, version, Duration.ZERO)
+
+    private fun watch(kind: String, version: Long, firstWait: Duration) = flow {
         var at = version
+        var wait = firstWait
         while (true) {
-            val events = withTimeoutOrNull(watchWait + CALL_TIMEOUT) {
-                call { store.changes(kind, at, watchWait) ?: emptyList() }
+            val events = withTimeoutOrNull(wait + CALL_TIMEOUT) {
+                call { store.changes(kind, at, wait) ?: emptyList() }
+            }
+            wait = watchWait
+            val puts = events.orEmpty().filterIsInstance<WatchEvent.Put>()
+            val isReceived = rate.pass(puts.sumOf { it.value.value.length })
+            if (events.isNullOrEmpty() ||
+                !isReceived
+            ) {
+                return@flow emit(WatchEvent.Ended("watch ended"))
             }
-            if (events.isNullOrEmpty()) return@flow emit(WatchEvent.Ended("watch ended"))
             events.forEach { emit(it) }
             at = (events.last() as WatchEvent.Progress).version
         }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/TextDeployment.kt
@@ -31,7 +31,7 @@
     override val targetKind = "targets"
 
     override fun catalog(text: String): Either<String, Catalog> {
-        val version = text.toLongOrNull() ?: return "no number".left()
+        val version = text.substringBefore(' ').toLongOrNull() ?: return "no number".left()
         val limits = CallerLimits(1, 1, 1.seconds, 1.seconds)
         return Catalog(
             version,
