--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
@@ -83,9 +83,9 @@
     private fun routes(first: Int, count: Int) = List(count) { route("added-${first + it}") }
 
     private fun route(name: String) =
-        """{"name":"$name-${word()}","host":"${word()}.example","path_prefix":"/${word()}/",""" +
+        """{"name":"$name-${word()}","host":"${word()}.example","path_starts":"/${word()}/",""" +
             """"kind":"streaming","timeout_ms":25000,"target_latency_ms":4500,"priority":1,""" +
-            """"service":"${word()}","max_attempts":5,"anonymous":false,"stream_resume":true}"""
+            """"service":"${word()}","max_attempts":5,"anonymous":false,"resume_allow":true}"""
 
     private fun word() = List(8) {
         random.nextInt('a'.code, 'z'.code + 1).toChar()
