End health checks whose body is too long

Cause: a check read and dropped the body for its whole timeout of 250 ms. One check took 235 MB, 50 targets 13.8 GB in some seconds; the buffers of the sockets held up to 214 MB, segments were sent again, and requests of others waited for those. The timers of the host stayed on time.

Evidence: LivenessProbeTest, `a response without an end is read up to a limit only`, failed before: bytes were sent.

--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/LivenessProbe.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/LivenessProbe.kt
@@ -11,9 +11,11 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A single probe. Any response within the timeout means alive; a refused connection or none means
- * not alive. A connection that breaks says nothing, since targets reset connections beyond their
- * limit, and so counts as alive: the request's own connection shows whether the target has died.
+ * A single probe. Any complete response within the timeout means alive; a refused connection or
+ * none means not alive. So does a body beyond [MAX_BODY_BYTES], whose connection is closed: to read
+ * and drop it until the timeout would delay requests and fill the buffers of the sockets. A
+ * connection that breaks says nothing, since targets reset connections beyond their limit, and so
+ * counts as alive: the request's own connection shows whether the target has died.
  */
 internal class LivenessProbe(
     private val connections: Connections,
@@ -24,6 +26,7 @@
     private var outgoing: OutgoingRequest? = null
     private var done = false
     private var startedAt = 0L
+    private var bodyBytes = 0
 
     fun start(address: String, request: FullHttpRequest) {
         startedAt = System.nanoTime()
@@ -33,7 +36,10 @@
 
     override fun onResponseHead(response: HttpResponse): Unit = onResponse(response)
 
-    override fun onBody(bytes: ByteArray): Unit = Unit
+    override fun onBody(bytes: ByteArray) {
+        bodyBytes += bytes.size
+        if (bodyBytes > MAX_BODY_BYTES) finish(ProbeResult.SILENT)
+    }
 
     override fun onEnd(reusable: Boolean) {
         outgoing?.release(reusable)
@@ -62,5 +68,8 @@
 
         /** A machine whose process has stopped refuses connections within milliseconds. */
         const val REFUSAL_MILLIS = 200L
+
+        /** Reports on a target's load have a few hundred bytes. */
+        const val MAX_BODY_BYTES = 65_536
     }
 }
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
@@ -7,13 +7,16 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** What a probe says about its target. */
 class LivenessProbeTest {
@@ -46,6 +49,34 @@
         }
     }
 
+    // Guards against requests that waited while bodies without an end filled the links.
+    @Test
+    fun `a response without an end is read up to a limit only`() {
+        val sent = CompletableFuture<Long>()
+        ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { sent.complete(sendUntilClosed(it.getOutputStream())) }
+            }
+            assertEquals(ProbeResult.SILENT, probe("127.0.0.1:${server.localPort}"))
+        }
+        val bytes = sent.get(2, TimeUnit.SECONDS)
+        assertTrue(bytes < MAX_SENT_BYTES, "$bytes bytes were sent")
+    }
+
+    private fun sendUntilClosed(output: OutputStream): Long {
+        output.write("HTTP/1.1 200 OK\r\n\r\n".encodeToByteArray())
+        val chunk = ByteArray(CHUNK_BYTES)
+        var sent = 0L
+        try {
+            while (true) {
+                output.write(chunk)
+                sent += chunk.size
+            }
+        } catch (e: SocketException) {
+            return sent
+        }
+    }
+
     private fun freePort(): Int =
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
 
@@ -65,4 +96,11 @@
         }
         return result.get(2, TimeUnit.SECONDS).also { transport.close() }
     }
+
+    private companion object {
+        const val CHUNK_BYTES = 16_384
+
+        /** What the buffers of two sockets may hold at most. */
+        const val MAX_SENT_BYTES = 8_388_608L
+    }
 }
