--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -40,7 +40,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
 import kotlinx.io.readString
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.decodeFromJsonElement
@@ -168,9 +167,6 @@
     /** Decodes an object, or returns null for a malformed one, so that the others still count. */
     private fun readable(kind: String, value: JsonElement): ApiObject? = try {
         json.decodeFromJsonElement<ApiObject>(value)
-    } catch (e: SerializationException) {
-        log.info("ignoring a malformed object of kind {}: {}", kind, reason(e))
-        null
     } catch (e: IllegalArgumentException) {
         log.info("ignoring a malformed object of kind {}: {}", kind, reason(e))
         null
