Test relays that are killed halfway, and domains that start behind slow links

A domain whose hosts start together 2.4, 3 or 4 s after the acknowledgement: failed 3 of 3, two hosts serve by the version before. They list the store from its cache and count as ready by it, and the new version takes until 0.63 s later. In KNOWN-RED; the simulation now has hosts that are killed.

--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
@@ -129,6 +129,10 @@
         val rate = SimulatedRate { scope.currentTime }
         private var listed = emptyList<ListedHost>()
         private var process = Process()
+
+        /** Whether the process runs; callers of one that does not are refused. */
+        var isUp: Boolean = true
+            private set
         val updater: HostViewUpdater get() = process.updater
 
         /** Whether the host watches the store itself instead of following a relay. */
@@ -146,6 +150,12 @@
             process.start()
         }
 
+        /** Kills the process; the responses that it sends at the time break off. */
+        fun kill() {
+            process.job.cancel()
+            isUp = false
+        }
+
         /** Kills the process and starts another one. */
         fun restart() {
             process.job.cancel()
@@ -215,8 +225,9 @@
             val result = withTimeoutOrNull(timeout) { peerLink.call { callPeer(address, request) } }
             if (result is CallResult.Response) {
                 val size = result.body.size
-                val isReceived = byAddress.getValue(address).rate.pass(size) && rate.pass(size)
-                if (isReceived) result else CallResult.NoResponse
+                val peer = byAddress.getValue(address)
+                val isReceived = peer.rate.pass(size) && rate.pass(size)
+                if (isReceived && peer.isUp) result else CallResult.NoResponse
             } else {
                 result ?: CallResult.NoResponse
             }
@@ -225,6 +236,7 @@
 
     private suspend fun callPeer(address: String, request: CallRequest): CallResult {
         val peer = byAddress.getValue(address)
+        if (!peer.isUp) return CallResult.NotSent
         val reply = peer.peerLink.call {
             if (request.path == PeerNews.CATALOG_PATH) {
                 peer.onNotice(CatalogNotice.parseFrom(request.body))
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
@@ -11,6 +12,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Large configurations on their way over the links of hosts, in virtual time. */
@@ -51,6 +53,44 @@
         }
     }
 
+    // Guards against followers that wait for a relay that was killed while it sent to them.
+    @ParameterizedTest
+    @ValueSource(ints = [50, 200, 400, 600])
+    fun `a relay that is killed halfway delays no configuration`(millis: Int) = runTest {
+        val fleet = fleet(perDomain = 12)
+        delay(6.seconds)
+        val relay = fleet.hosts.first { it.isWatching && it.domain != "domain-0" }
+        routes = routes + routes(routes.size, GROWTH)
+        edit(fleet)
+        delay(millis.milliseconds)
+        relay.kill()
+        awaitInForce(fleet, millis.milliseconds)
+    }
+
+    // A cached list is seconds old, and what is newer takes a while behind a slow link.
+    @ParameterizedTest
+    @ValueSource(ints = [2_400, 3_000, 4_000])
+    @Tag("known-red")
+    fun `hosts that start together serve by no configuration that was replaced`(millis: Int) =
+        runTest {
+            val fleet = fleet(perDomain = 12)
+            delay(6.seconds)
+            routes = routes + routes(routes.size, GROWTH)
+            edit(fleet)
+            delay(millis.milliseconds)
+            val started = fleet.hosts.filter { it.domain == "domain-1" }
+            started.forEach { it.restart() }
+            repeat(300) {
+                delay(STEP)
+                if (millis.milliseconds + STEP * (it + 1) <= APPLY_LIMIT) return@repeat
+                val replaced = started.map { host -> host.updater.view }
+                    .filter { view -> view.serving }
+                    .mapNotNull { view -> view.catalog?.version }
+                    .filter { served -> served != version.toLong() }
+                assertEquals(emptyList(), replaced)
+            }
+        }
+
     private fun TestScope.fleet(perDomain: Int): FleetSimulation {
         val fleet = FleetSimulation(this, domains = 4, perDomain, UpdateTiming(APPLY_LIMIT))
         fleet.hosts.forEach { host ->
@@ -71,13 +111,23 @@
 
     private suspend fun assertInForce(fleet: FleetSimulation) {
         edit(fleet)
-        var elapsed = Duration.ZERO
-        while (fleet.hosts.any { it.updater.view.catalog?.version != version.toLong() }) {
-            assertTrue(elapsed < APPLY_LIMIT, "version $version is not in force in time")
+        delay(5.seconds - awaitInForce(fleet))
+    }
+
+    /** Waits for the latest version, [since] after it was written; returns its age then. */
+    private suspend fun awaitInForce(
+        fleet: FleetSimulation,
+        since: Duration = Duration.ZERO,
+    ): Duration {
+        var elapsed = since
+        while (true) {
+            val late = fleet.hosts
+                .filter { it.isUp && it.updater.view.catalog?.version != version.toLong() }
+            if (late.isEmpty()) return elapsed
+            assertTrue(elapsed < APPLY_LIMIT, "version $version is late at ${late.map { it.name }}")
             delay(STEP)
             elapsed += STEP
         }
-        delay(5.seconds - elapsed)
     }
 
     private fun routes(first: Int, count: Int) = List(count) { route("added-${first + it}") }
