--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/SlowLinksTest.kt
@@ -67,7 +67,7 @@
         awaitInForce(fleet, millis.milliseconds)
     }
 
-    // A cached list is seconds old, and what is newer takes a while behind a slow link.
+    // Guards against hosts that are ready by a cached list, seconds old, while a newer one arrives.
     @ParameterizedTest
     @ValueSource(ints = [2_400, 3_000, 4_000])
     @Tag("known-red")
