--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/LivenessProbeTest.kt
@@ -100,7 +100,7 @@
     private companion object {
         const val CHUNK_BYTES = 16_384
 
-        /** What the buffers of two sockets may hold at most. */
+        /** Twice the largest send buffer; the receive buffer grows only as it is read. */
         const val MAX_SENT_BYTES = 8_388_608L
     }
 }
