--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/FleetSimulation.kt
@@ -131,8 +131,7 @@
         private var process = Process()
 
         /** Whether the process runs; callers of one that does not are refused. */
-        var isUp: Boolean = true
-            private set
+        val isUp: Boolean get() = process.job.isActive
         val updater: HostViewUpdater get() = process.updater
 
         /** Whether the host watches the store itself instead of following a relay. */
@@ -151,14 +150,11 @@
         }
 
         /** Kills the process; the responses that it sends at the time break off. */
-        fun kill() {
-            process.job.cancel()
-            isUp = false
-        }
+        fun kill(): Unit = process.job.cancel()
 
         /** Kills the process and starts another one. */
         fun restart() {
-            process.job.cancel()
+            kill()
             process = Process()
             process.start()
         }
