Serve by what a list shows before a page that leads no further

What callers saw: 60 entries whose metadata had no name, or a number for it, at the end of the targets' list: 503 for each request, 0 of 60 served. A host that was running kept the targets and the configuration that it had, for good, once it had to list again.

Cause: a page on which no entry has a readable name brings no cursor, and the list as a whole counted as unavailable, though the pages before it were read.

Now such a list is a ListResult.Partial: its objects, and the name up to which nothing is missing. A host adds the targets that it shows and removes those that it would have shown; it keeps the others, reads the list again each second, does not count as up to date and tells peers nothing of it. The configuration is read by its key where the list does not reach it. Lists of hosts and of verdicts use what was read.

--- a/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/KindWatcher.kt
@@ -2,6 +2,7 @@
 package burdockspread.store
 
 import burdockspread.time.TimeSource
+import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -29,6 +30,9 @@
  * knows the kind by now. What the watch would still bring up to there is given up, since a large
  * object may take seconds on a slow link, and the watch goes on from that version.
  *
+ * A list that cannot be read to its end is read again and again, since a watch would bring nothing
+ * of what it lacks. The [required] object is then read by itself.
+ *
  * Every response of a watch counts as a store call, so after a change the watcher waits for
  * [batchingDelay] to batch further changes.
  */
@@ -41,6 +45,7 @@
     private val batchingDelay: Duration = BATCHING_DELAY,
     private val startsCached: Boolean = true,
     private val known: StateFlow<Long> = MutableStateFlow(0),
+    private val required: ObjectKey? = null,
 ) {
     /** Version up to which the watch has brought the changes. */
     private var version = 0L
@@ -52,13 +57,25 @@
         while (true) {
             val listed = if (isCached) store.listCached(kind) else store.list(kind)
             isCached = false
-            val watchTime = if (listed is ListResult.Listed) watchFrom(listed) else Duration.ZERO
+            var watchTime = Duration.ZERO
+            when (listed) {
+                is ListResult.Listed -> watchTime = watchFrom(listed)
+                is ListResult.Partial -> listener.onPartlyListed(kind, completed(listed))
+                is ListResult.Unavailable -> listener.onUnavailable(kind, listed.reason)
+            }
             failures = if (watchTime >= MIN_HEALTHY_WATCH) 0 else failures + 1
-            if (listed is ListResult.Unavailable) listener.onUnavailable(kind, listed.reason)
             delay(backoff.delayAfter(failures))
         }
     }
 
+    /** Adds the [required] object if [listed] does not tell of it. */
+    private suspend fun completed(listed: ListResult.Partial): ListResult.Partial {
+        val key = required
+        if (key == null || key.name <= listed.readThrough) return listed
+        val found = (store.get(key) as? ReadResult.Found)?.value ?: return listed
+        return listed.copy(objects = (listed.objects + found).toImmutableList())
+    }
+
     /** Returns for how long the watch delivered events. */
     private suspend fun watchFrom(listed: ListResult.Listed): Duration {
         listener.onListed(kind, listed)
@@ -144,6 +161,10 @@
     /** Called with all objects of the kind. */
     public fun onListed(kind: String, listed: ListResult.Listed)
 
+    /** Called with what could be read of the kind; nothing is watched until a list is complete. */
+    public fun onPartlyListed(kind: String, listed: ListResult.Partial): Unit =
+        onUnavailable(kind, listed.reason)
+
     /** Called with a change, or with a notice that nothing has changed. */
     public fun onEvent(kind: String, event: WatchEvent)
 
--- a/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
+++ b/burdock-core/src/main/kotlin/burdockspread/store/ReadResult.kt
@@ -36,6 +36,22 @@
         public val newestVersion: Long = version,
     ) : ListResult
 
+    /**
+     * The objects of a kind up to entries beyond which the list cannot be read. Nothing is known of
+     * an object that is missing here and whose name follows [readThrough].
+     *
+     * @property version the moment of the oldest part, as of [Listed.version].
+     * @property reason why the list ends.
+     * @property isCached whether the list may be some seconds old.
+     */
+    public data class Partial(
+        public val objects: ImmutableList<StoredObject>,
+        public val version: Long,
+        public val readThrough: String,
+        public val reason: String,
+        public val isCached: Boolean = false,
+    ) : ListResult
+
     /** The store did not answer, so nothing is known. */
     public data class Unavailable(public val reason: String) : ListResult
 }
--- a/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
+++ b/burdock-core/src/test/kotlin/burdockspread/store/KindWatcherTest.kt
@@ -70,6 +70,40 @@
         assertTrue(store.answers > 0)
     }
 
+    // Guards against hosts that never learned what a list lacks, or got no configuration from it.
+    @Test
+    fun `a list without its end is read again, and the required object by itself`() = runTest {
+        val partial = ListResult.Partial(persistentListOf(), 9, readThrough = "k", "stuck")
+        val store = ScriptedStore(partial = partial)
+        val listener = RecordingListener()
+        val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
+        val required = ObjectKey("things", "main")
+        val watcher = launch {
+            KindWatcher("things", store, listener, clock, required = required).run()
+        }
+        delay(10.seconds)
+        watcher.cancel()
+        assertTrue(listener.partlyListed.size in 8..13, "${listener.partlyListed.size} lists")
+        assertTrue(listener.partlyListed.all { it == listOf(required) })
+        assertEquals(emptyList(), listener.listed)
+        assertEquals(emptyList(), store.watchedFrom)
+    }
+
+    @Test
+    fun `an object that a list lacks up to its name is not read`() = runTest {
+        val partial = ListResult.Partial(persistentListOf(), 9, readThrough = "main", "stuck")
+        val listener = RecordingListener()
+        val clock = TimeSource { Instant.fromEpochMilliseconds(currentTime) }
+        val store = ScriptedStore(partial = partial)
+        val required = ObjectKey("things", "main")
+        val watcher = launch {
+            KindWatcher("things", store, listener, clock, required = required).run()
+        }
+        delay(1.seconds)
+        watcher.cancel()
+        assertTrue(listener.partlyListed.all { it.isEmpty() })
+    }
+
     // Guards against hosts that receive for seconds what a peer has brought them long before.
     @Test
     fun `a watch that another source has overtaken goes on from there at once`() = runTest {
@@ -115,6 +149,7 @@
         var unavailableCount = 0
         var endedCount = 0
         val listed = ArrayList<Long>()
+        val partlyListed = ArrayList<List<ObjectKey>>()
         val overtaken = ArrayList<Long>()
 
         override fun onOvertaken(kind: String, version: Long) {
@@ -125,6 +160,10 @@
             this.listed += listed.version
         }
 
+        override fun onPartlyListed(kind: String, listed: ListResult.Partial) {
+            partlyListed += listed.objects.map { it.key }
+        }
+
         override fun onEvent(kind: String, event: WatchEvent) = Unit
 
         override fun onWatchEnded(kind: String, reason: String) {
@@ -143,21 +182,25 @@
         private val cachedVersion: Long = 9,
         private val oldestVersion: Long = 0,
         private var failedResumptions: Int = 0,
+        private val partial: ListResult.Partial? = null,
     ) : ObjectStore {
         var calls = 0
         var answers = 0
         val watchedFrom = ArrayList<Long>()
 
-        override suspend fun get(key: ObjectKey): ReadResult = ReadResult.Missing
+        override suspend fun get(key: ObjectKey): ReadResult =
+            ReadResult.Found(StoredObject(key, 7, "", "{}"))
 
         override suspend fun list(kind: String): ListResult {
             calls++
+            if (partial != null) return partial
             if (!isAvailable) return ListResult.Unavailable("unavailable")
             return ListResult.Listed(persistentListOf(), 9)
         }
 
         override suspend fun listCached(kind: String): ListResult = when (val recent = list(kind)) {
             is ListResult.Listed -> recent.copy(version = cachedVersion)
+            is ListResult.Partial -> recent
             is ListResult.Unavailable -> recent
         }
 
--- a/burdock-document-core/src/main/kotlin/burdockspread/document/edit/DocumentReader.kt
+++ b/burdock-document-core/src/main/kotlin/burdockspread/document/edit/DocumentReader.kt
@@ -24,6 +24,7 @@
     public suspend fun read(): Either<String, StoredDocument> =
         when (val list = store.list(StoredDocument.KIND)) {
             is ListResult.Unavailable -> list.reason.left()
+            is ListResult.Partial -> list.reason.left()
             is ListResult.Listed -> assemble(list.objects)
         }
 
--- a/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
+++ b/burdock-fakes/src/main/kotlin/burdockspread/fakes/api/ObjectApiServer.kt
@@ -84,7 +84,7 @@
         if (call.request.queryParameters["watch"] == "true") return watch()
         when (val result = store.list(kind())) {
             is ListResult.Listed -> call.respondJson(HttpStatusCode.OK, toJson(result))
-            is ListResult.Unavailable -> awaitCancellation()
+            is ListResult.Partial, is ListResult.Unavailable -> awaitCancellation()
         }
     }
 
--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -50,6 +50,23 @@
         (records.keys - listed.keys).forEach { id -> onMissing(id, atVersion, keepUntil, now) }
     }
 
+    /**
+     * Adds the entries of a listing as of [atVersion] that could not be read to its end, and removes
+     * those of which it says that they are [gone], like [onListing]. The directory is not current
+     * as of [atVersion] thereby.
+     */
+    public fun onPartialListing(
+        entries: List<TargetEntry>,
+        gone: Collection<TargetId>,
+        atVersion: Long,
+        keepUntil: Instant,
+        now: Instant,
+    ) {
+        if (atVersion < version) return
+        entries.forEach { merge(it, maxOf(atVersion, it.storeVersion)) }
+        gone.forEach { onMissing(it, atVersion, keepUntil, now) }
+    }
+
     /** Applies one changed entry of a watch; returns false if a newer state of it is known. */
     public fun onEntry(entry: TargetEntry, atVersion: Long): Boolean {
         if (atVersion <= version) return false
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/ForwardHost.kt
@@ -246,6 +246,7 @@
                     clock,
                     startsCached = startsCached,
                     known = viewUpdater.knownVersion(kind),
+                    required = deployment.catalogKey.takeIf { it.kind == kind },
                 ).run()
             }
         }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostList.kt
@@ -30,6 +30,7 @@
 ) {
     private val resolvingStore = ResolvingStore(store)
     private val key = ObjectKey(KIND, name)
+    private var hosts = emptyList<ListedHost>()
     private val value = "{\"address\":\"$address\",\"failureDomain\":\"$domain\"}"
 
     /** Runs until cancelled. */
@@ -63,12 +64,18 @@
     }
 
     private suspend fun list() {
-        val listed = store.listCached(KIND)
-        if (listed !is ListResult.Listed) {
-            log.warn("list of the hosts failed, keeping the last one: {}", listed)
-            return
+        when (val listed = store.listCached(KIND)) {
+            is ListResult.Listed -> hosts = listed.objects.mapNotNull(::host)
+            is ListResult.Partial -> {
+                log.warn("some hosts were not listed, keeping those known: {}", listed.reason)
+                hosts = (listed.objects.mapNotNull(::host) + hosts).distinctBy { it.id }
+            }
+            is ListResult.Unavailable -> {
+                log.warn("list of the hosts failed, keeping the last one: {}", listed)
+                return
+            }
         }
-        onListed(listed.objects.mapNotNull(::host))
+        onListed(hosts)
     }
 
     private fun host(stored: StoredObject): ListedHost? {
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostView.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/HostView.kt
@@ -23,6 +23,7 @@
     /** Highest store version among the rollouts, or 0. */
     public val rolloutsVersion: Long get() = rollouts.values.maxOfOrNull { it.storeVersion } ?: 0
 
-    /** Whether the host can serve requests. */
-    public val serving: Boolean get() = catalog != null && directory.version > 0
+    /** Whether the host can serve requests, if only by some of the targets. */
+    public val serving: Boolean
+        get() = catalog != null && (directory.version > 0 || directory.services.isNotEmpty())
 }
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
@@ -62,9 +62,17 @@
     suspend fun load(): List<Verdict> {
         while (true) {
             val listed = store.listCached(KIND)
-            if (listed is ListResult.Listed) return listed.objects.mapNotNull(::decode)
-            log.info("list of the archived verdicts failed, retrying: {}", listed)
-            delay(RETRY_DELAY)
+            when (listed) {
+                is ListResult.Listed -> return listed.objects.mapNotNull(::decode)
+                is ListResult.Partial -> {
+                    log.warn("some archived verdicts were not read: {}", listed.reason)
+                    return listed.objects.mapNotNull(::decode)
+                }
+                is ListResult.Unavailable -> {
+                    log.info("list of the archived verdicts failed, retrying: {}", listed)
+                    delay(RETRY_DELAY)
+                }
+            }
         }
     }
 
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/RolloutReporter.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/RolloutReporter.kt
@@ -71,6 +71,9 @@
         override fun onListed(kind: String, listed: ListResult.Listed): Unit =
             listed.objects.forEach(::read)
 
+        override fun onPartlyListed(kind: String, listed: ListResult.Partial): Unit =
+            listed.objects.forEach(::read)
+
         override fun onEvent(kind: String, event: WatchEvent) {
             // An order that was deleted stays as it is: nothing says what its targets do now.
             if (event is WatchEvent.Put) read(event.value)
--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/CatalogUpdates.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/CatalogUpdates.kt
@@ -46,6 +46,12 @@
         listed.objects.forEach(::onStored)
     }
 
+    /** Handles a part of such a list; returns whether it tells of the configuration. */
+    fun onPartlyListed(listed: ListResult.Partial): Boolean {
+        listed.objects.forEach(::onStored)
+        return listed.objects.any { it.key == deployment.catalogKey }
+    }
+
     /** Handles an object of the configuration's kind. */
     fun onStored(value: StoredObject) {
         if (value.key != deployment.catalogKey) return
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/news/HostViewUpdaterTest.kt
@@ -307,6 +307,61 @@
         assertTrue(waiting.isCompleted)
     }
 
+    // Guards against hosts without any target while some of the store's entries can't be read.
+    @Test
+    fun `a host that knows nothing serves by a list that lacks its end`() {
+        updater.onListed("settings", listed(5, catalog(3)))
+        updater.onPartlyListed("targets", partial(9, "m", target("a", 6), target("c", 7)))
+        assertTrue(updater.view.serving)
+        assertEquals(listOf("a", "c"), usableTargets().sorted())
+        assertFalse(updater.isFollowingStore(now))
+        updater.onPartlyListed("targets", partial(12, "b", target("a", 6)))
+        assertEquals(listOf("a", "c"), usableTargets().sorted())
+        updater.onPartlyListed("targets", partial(13, "m", target("a", 6)))
+        assertEquals(listOf("a"), usableTargets())
+    }
+
+    @Test
+    fun `a list that lacks its end removes only what it would have shown`() {
+        val host = hostThatKnows("a", "b", "z")
+        val leaving = settings("b leaving", 8).copy(key = ObjectKey("targets", "b"))
+        host.onPartlyListed("targets", partial(9, "m", leaving, target("c", 7)))
+        assertEquals(listOf("c", "z"), usableTargets(host).sorted())
+        assertTrue("targets" in host.storeProblems)
+        host.onPartlyListed("targets", partial(4, "m", target("a", 3)))
+        assertEquals(listOf("c", "z"), usableTargets(host).sorted())
+    }
+
+    // Guards against followers that lost the targets which their relay could not read.
+    @Test
+    fun `peers are told of a list that lacks its end only once a complete one confirms it`() {
+        val relay = hostThatKnows("a", "b", "z")
+        updater.pullFrom(relay)
+        relay.onPartlyListed("targets", partial(9, "m", target("b", 6), target("c", 7)))
+        assertFalse(updater.pullFrom(relay).confirmed)
+        assertEquals(listOf("a", "b", "z"), usableTargets().sorted())
+        val starting = HostViewUpdater(TextDeployment, { now })
+        starting.onPartlyListed("targets", partial(9, "m", target("b", 6)))
+        updater.pullFrom(starting)
+        assertEquals(listOf("a", "b", "z"), usableTargets().sorted())
+        starting.pullFrom(updater)
+        assertEquals(listOf("a", "b", "z"), usableTargets(starting).sorted())
+        relay.onListed("targets", listed(12, target("b", 6), target("c", 7), target("z", 6)))
+        assertTrue(updater.pullFrom(relay).changesOnly)
+        assertEquals(listOf("b", "c", "z"), usableTargets().sorted())
+    }
+
+    @Test
+    fun `a configuration from a list that lacks its end is confirmed`() {
+        updater.onPartlyListed("settings", partial(9, "m", catalog(3)))
+        updater.onListed("targets", listed(6, target("a", 6)))
+        assertTrue(updater.view.serving)
+        assertTrue(updater.isFollowingStore(now))
+        updater.onPartlyListed("settings", partial(9, "m"))
+        assertFalse(updater.isFollowingStore(now))
+        assertEquals(3, updater.view.catalog?.version)
+    }
+
     @Test
     fun `entries of removed targets are not kept`() {
         follow()
@@ -353,6 +408,9 @@
     private fun listed(version: Long, vararg objects: StoredObject) =
         ListResult.Listed(objects.toList().toImmutableList(), version)
 
+    private fun partial(version: Long, readThrough: String, vararg objects: StoredObject) =
+        ListResult.Partial(objects.toList().toImmutableList(), version, readThrough, "stuck")
+
     private fun catalog(version: Long) = settings("$version", version)
 
     private fun settings(text: String, version: Long) =
