--- a/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
+++ b/burdock-forward-core/src/main/kotlin/burdockspread/forward/directory/TargetDirectory.kt
@@ -51,9 +51,8 @@
     }
 
     /**
-     * Adds the entries of a listing as of [atVersion] that could not be read to its end, and removes
-     * those of which it says that they are [gone], like [onListing]. The directory is not current
-     * as of [atVersion] thereby.
+     * Adds the entries of a listing as of [atVersion] that lacks its end, and handles those that it
+     * shows to be [gone] like [onListing]. [version] stays, since other entries may have changed.
      */
     public fun onPartialListing(
         entries: List<TargetEntry>,
