Leave out objects of other programs that no call can name in HttpObjectStore

Names with bytes that are no UTF-8 were read with U+FFFD in their place: several objects came under one name, and a call with that name reached none of them. A line of a watch that was no event ended the watch.

Such objects and lines are left out now, with a log line.

--- a/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
+++ b/burdock-store/src/main/kotlin/burdockspread/store/http/HttpObjectStore.kt
@@ -5,6 +5,7 @@
 import burdockspread.json.withoutDeepValues
 import burdockspread.net.TransferDeadline
 import burdockspread.net.encodePathSegment
+import burdockspread.net.isWellFormed
 import burdockspread.store.ListResult
 import burdockspread.store.ObjectKey
 import burdockspread.store.ObjectStore
@@ -91,7 +92,7 @@
         val (status, text) = fetch(HttpMethod.Get, path(kind))
         if (status.isSuccess()) {
             val list = decode<ApiList>(text, IN_ITEM)
-            val objects = list.items.mapNotNull { readable(kind, it) }
+            val objects = list.items.mapNotNull { readableObject(kind, it) }
                 .map { toStoredObject(kind, it) }
             ListResult.Listed(objects.toImmutableList(), version(list.metadata))
         } else {
@@ -148,9 +149,9 @@
             val lines = response.bodyAsChannel()
             while (true) {
                 val line = lines.readUTF8Line() ?: break
-                val event = decode<ApiWatchEvent>(line, IN_EVENT)
+                val event = readable(kind) { decode<ApiWatchEvent>(line, IN_EVENT) } ?: continue
                 if (event.type !in CHANGES) return@execute "resource version expired"
-                readable(kind, event.value)?.let { emit(watchEvent(kind, event.type, it)) }
+                readableObject(kind, event.value)?.let { emit(watchEvent(kind, event.type, it)) }
             }
             "stream ended"
         }
@@ -164,9 +165,16 @@
             WatchEvent.Put(toStoredObject(kind, value))
         }
 
-    /** Decodes an object, or returns null for a malformed one, so that the others still count. */
-    private fun readable(kind: String, value: JsonElement): ApiObject? = try {
-        json.decodeFromJsonElement<ApiObject>(value)
+    /** Decodes an object, or returns null if it is malformed or no call could name it. */
+    private fun readableObject(kind: String, value: JsonElement): ApiObject? = readable(kind) {
+        json.decodeFromJsonElement<ApiObject>(value).also {
+            require(it.metadata.name.isWellFormed()) { "an unreadable name" }
+        }
+    }
+
+    /** Decodes with [decode], or returns null for what is malformed, so that the rest counts. */
+    private inline fun <R> readable(kind: String, decode: () -> R): R? = try {
+        decode()
     } catch (e: IllegalArgumentException) {
         log.info("ignoring a malformed object of kind {}: {}", kind, reason(e))
         null
--- a/burdock-store/src/test/kotlin/burdockspread/store/http/OddObjectsTest.kt
+++ b/burdock-store/src/test/kotlin/burdockspread/store/http/OddObjectsTest.kt
@@ -39,6 +39,7 @@
         server.createContext("/") { exchange ->
             paths += exchange.requestURI.path.substringAfter("/test/")
             val body = answer.encodeToByteArray()
+                .map { if (it == RAW) 0xFF.toByte() else it }.toByteArray()
             exchange.sendResponseHeaders(200, body.size.toLong())
             exchange.responseBody.use { it.write(body) }
         }
@@ -70,6 +71,36 @@
         assertEquals(WatchEvent.Ended("stream ended"), events.last())
     }
 
+    // Guards against objects of other programs under one name, which no call leads back to.
+    @Test
+    fun `an object whose name is no UTF-8 is left out of a list`() = runBlocking {
+        val objects = (RAW_BYTES + GOOD).joinToString(",")
+        answer = """{"metadata":{"resourceVersion":"9"},"items":[$objects]}"""
+        val listed = assertIs<ListResult.Listed>(store.list("sections"))
+        assertEquals(listOf("value", "good"), listed.objects.map { it.key.name })
+    }
+
+    // Guards against a watch that ended, again and again, at such an object.
+    @Test
+    fun `an object whose name is no UTF-8 is left out of a watch`() = runBlocking {
+        answer = (RAW_BYTES + GOOD).joinToString("\n") { """{"type":"ADDED","object":$it}""" }
+        val events = store.watch("sections", 1).toList()
+        val names = events.filterIsInstance<WatchEvent.Put>().map { it.value.key.name }
+        assertEquals(listOf("value", "good"), names)
+        assertEquals(WatchEvent.Ended("stream ended"), events.last())
+    }
+
+    // Guards against a watch that ended at a line of any other kind.
+    @Test
+    fun `a malformed event is left out of a watch`() = runBlocking {
+        val events = listOf("7", "[]", "{}", """{"type":7}""", """{"type":"ADDED"}""", "{", "|")
+        answer = (events + """{"type":"ADDED","object":$GOOD}""").joinToString("\n")
+        val seen = store.watch("sections", 1).toList()
+        val names = seen.filterIsInstance<WatchEvent.Put>().map { it.value.key.name }
+        assertEquals(listOf("good"), names)
+        assertEquals(WatchEvent.Ended("stream ended"), seen.last())
+    }
+
     // Guards against calls for another object, or for none, than the one that was named.
     @ParameterizedTest
     @ValueSource(strings = ["r&d", "a+b", "a#b", "a%b", "%26", "a b", "a/b", "a?b", "..", "\u0161"])
@@ -86,6 +117,15 @@
     private companion object {
         const val GOOD =
             """{"kind":"sections","metadata":{"name":"good","resourceVersion":"4"},"spec":{}}"""
+
+        /** Sent as the byte FF. */
+        const val RAW = '|'.code.toByte()
+        val RAW_BYTES = listOf(
+            GOOD.replace("good", "|"),
+            GOOD.replace("good", "a||b"),
+            GOOD.replace("good", "\\ud800"),
+            GOOD.replace("good", "value").replace("{}}", "{\"text\":\"|\"}}"),
+        )
         val ODD = listOf(
             "7",
             "null",
