Read reports of engines element by element

One model without a version made an engine's whole state unknown, so that it got no orders. One gauge that was NaN made a busy engine look idle.

Each costs only itself now.

--- a/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/engine/EngineLoadClient.kt
@@ -66,6 +66,7 @@
         val values = text.lineSequence()
             .filter { it.startsWith("$name ") || it.startsWith("$name{") }
             .mapNotNull { it.substringAfterLast(' ').toDoubleOrNull() }
+            .filter { it.isFinite() }
             .toList()
         return if (values.isEmpty()) null else values.sum().toInt()
     }
--- a/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -16,6 +16,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
 import java.io.Closeable
 import java.net.ConnectException
 import kotlin.time.Duration
@@ -25,7 +27,13 @@
     OrderClient,
     Closeable {
     @Serializable
-    private data class StateJson(val models: Map<String, String> = emptyMap())
+    private data class StateJson(val models: Map<String, JsonElement> = emptyMap()) {
+        /** Versions by model; a model without a version costs no other. */
+        fun versions(): Map<String, String> = models
+            .mapValues { (_, version) -> version as? JsonPrimitive }
+            .filterValues { it?.isString == true }
+            .mapValues { (_, version) -> version?.content.orEmpty() }
+    }
 
     private val client = targetClient(timeout, timeout)
 
@@ -53,7 +61,7 @@
     override suspend fun state(address: String): EngineState? = try {
         val response = client.get("http://$address/admin/state")
         val state = json.decodeBounded<StateJson>(response.bodyAsText())
-        EngineState(state.models.toImmutableMap()).takeIf { response.status.isSuccess() }
+        EngineState(state.versions().toImmutableMap()).takeIf { response.status.isSuccess() }
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
