--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -103,25 +103,23 @@
 
     override fun onPartlyListed(kind: String, listed: ListResult.Partial) {
         source = "list"
+        if (kind != deployment.targetKind && catalogs.onPartlyListed(listed)) {
+            return publish(onWatchActivity(kind, isCurrent = !listed.isCached))
+        }
         if (kind == deployment.targetKind) {
-            onTargetsPartlyListed(listed)
-        } else if (catalogs.onPartlyListed(listed)) {
-            onWatchActivity(kind, isCurrent = !listed.isCached)
-            return publish(clock.now())
+            val now = clock.now()
+            if (!listed.isCached) storeContact.onHeard(now)
+            val known = directory.confirmed()
+            val entries = listed.objects.mapNotNull(::targetOf)
+            val present = entries.map { it.id }.toSet()
+            val gone = known.filter { it.value <= listed.readThrough } - present
+            directory.onPartialListing(entries, gone, listed.version, storeContact.keepUntil, now)
+            (known - directory.confirmed()).forEach { journal.record(it, listed.version) }
         }
+        // Peers are told of nothing until the store lists all.
         onLost(kind, listed.reason)
     }
 
-    private fun onTargetsPartlyListed(listed: ListResult.Partial) {
-        val now = clock.now()
-        if (!listed.isCached) storeContact.onHeard(now)
-        val known = directory.confirmed()
-        val entries = listed.objects.mapNotNull(::targetOf)
-        val gone = known.filter { it.value <= listed.readThrough } - entries.map { it.id }.toSet()
-        directory.onPartialListing(entries, gone, listed.version, storeContact.keepUntil, now)
-        (known - directory.confirmed()).forEach { journal.record(it, listed.version) }
-    }
-
     override fun onEvent(kind: String, event: WatchEvent) {
         val now = onWatchActivity(kind, isCurrent = true)
         source = "watch"
