--- a/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/host/QuarantineStore.kt
@@ -130,6 +130,7 @@
             evidence = value.texts("evidence").toImmutableList(),
         )
         require(verdict.parts.isNotEmpty()) { "no parts" }
+        require(stored.key == key(verdict.id)) { "the name of another verdict" }
         verdict.takeIf { clock.now() < it.expiresAt }
     } catch (e: SerializationException) {
         ignore(stored, e)
--- a/burdock-forward/src/test/kotlin/burdockspread/forward/host/QuarantineStoreTest.kt
+++ b/burdock-forward/src/test/kotlin/burdockspread/forward/host/QuarantineStoreTest.kt
@@ -86,6 +86,18 @@
         assertEquals(listOf(7L), archive().load().map { it.id.number })
     }
 
+    // Guards against a verdict that could not be lifted, since calls named another object.
+    @Test
+    fun `a verdict under another name than its own is left out`() = runTest {
+        archive().save(verdict)
+        settle()
+        val text = store.objects.values.single().value
+        store.objects[key("other-9f")] = stored("other-9f", text)
+        val replaced = text.replace("host-1", "host-\ufffd")
+        store.objects[key("host-2-9f")] = stored("host-2-9f", replaced)
+        assertEquals(listOf(verdict), archive().load())
+    }
+
     private fun TestScope.archive() = QuarantineStore(store, TimeSource { start }, this)
 
     /** Lets pending writes and their retries take place. */
