Apply gossip entry by entry

It costs only itself now, with a log line. GossipEntriesTest failed with a plain loop in place of applyEach, as it stood before, and passes now.

--- a/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
+++ b/burdock-entry/src/main/kotlin/burdockspread/entry/EntryPeers.kt
@@ -31,6 +31,7 @@
 import burdockspread.peer.PeerLookup
 import burdockspread.peer.PeerServer
 import burdockspread.peer.PresenceRunner
+import burdockspread.peer.applyEach
 import burdockspread.peer.toDomainSummary
 import burdockspread.peer.toEntry
 import burdockspread.peer.toTargetLoad
@@ -232,7 +233,7 @@
 
     private inner class GossipHandler : GossipListener {
         override fun onEntriesApplied(entries: List<Entry>) {
-            entries.forEach { entry ->
+            entries.applyEach { entry ->
                 when (entry.key.kind) {
                     EntryKind.SECTION -> offer(entry)
                     EntryKind.HOST, EntryKind.TARGET -> presence.onEntry(entry)
