--- a/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
+++ b/burdock-forward/src/main/kotlin/burdockspread/forward/news/HostViewUpdater.kt
@@ -250,7 +250,9 @@
         // Changes are incomplete if this host has learned more from elsewhere meanwhile.
         val isOutrun = reply.changesOnly && request.targetsVersion != directory.version
         if (!isNewer || !isOutrun) {
-            onPeerHeard(minOf(now, sentAt + reply.heardAfterMillis.milliseconds))
+            val heardAt = minOf(now, sentAt + reply.heardAfterMillis.milliseconds)
+            peerHeardAt = maxOf(peerHeardAt, heardAt)
+            storeContact.onHeard(heardAt)
             if (isNewer) applyTargets(reply, now)
         }
         reply.rolloutsList.mapNotNull { it.toOrder(now) }.forEach(::onRollout)
@@ -291,11 +293,6 @@
         (known - directory.confirmed()).forEach { journal.record(it, version) }
     }
 
-    private fun onPeerHeard(at: Instant) {
-        if (at > peerHeardAt) peerHeardAt = at
-        storeContact.onHeard(at)
-    }
-
     private fun onChanges(
         present: List<StoredObject>,
         removed: List<TargetNews>,
