--- a/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
+++ b/burdock-targets/src/main/kotlin/burdockspread/target/order/HttpOrderClient.kt
@@ -29,10 +29,9 @@
     @Serializable
     private data class StateJson(val models: Map<String, JsonElement> = emptyMap()) {
         /** Versions by model; a model without a version costs no other. */
-        fun versions(): Map<String, String> = models
-            .mapValues { (_, version) -> version as? JsonPrimitive }
-            .filterValues { it?.isString == true }
-            .mapValues { (_, version) -> version?.content.orEmpty() }
+        fun versions(): Map<String, String> = models.mapNotNull { (model, version) ->
+            (version as? JsonPrimitive)?.takeIf { it.isString }?.let { model to it.content }
+        }.toMap()
     }
 
     private val client = targetClient(timeout, timeout)
